--- /dev/null
+++ b/adapter/drill.cpp
@@ -0,0 +1,417 @@
+// quinceusher_drill: hosts balancer copies on the bench's wire (one JSON line in, one out). It parses,
+// translates, writes and flushes; every decision is the library's.
+#include <cstdio>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "quinceusher/balancer.h"
+#include "rapidjson/document.h"
+#include "rapidjson/error/en.h"
+#include "rapidjson/stringbuffer.h"
+#include "rapidjson/writer.h"
+
+namespace {
+
+using Json = rapidjson::Value;
+using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
+namespace qu = quinceusher;
+
+// What is wrong with a message; the text names the field.
+struct BadMessage : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+const Json* find(const Json& object, const char* field) {
+  if (!object.IsObject()) throw BadMessage(std::string("not an object where field '") + field + "' belongs");
+  const auto it = object.FindMember(field);
+  return it == object.MemberEnd() || it->value.IsNull() ? nullptr : &it->value;
+}
+
+const Json& need(const Json& object, const char* field) {
+  const Json* value = find(object, field);
+  if (value == nullptr) throw BadMessage(std::string("field '") + field + "' is missing");
+  return *value;
+}
+
+[[noreturn]] void wrong(const char* field, const char* wanted) {
+  throw BadMessage(std::string("field '") + field + "' is not " + wanted);
+}
+
+double number(const Json& object, const char* field) {
+  const Json& value = need(object, field);
+  if (!value.IsNumber()) wrong(field, "a number");
+  return value.GetDouble();
+}
+
+double number_or(const Json& object, const char* field, double otherwise) {
+  return find(object, field) == nullptr ? otherwise : number(object, field);
+}
+
+int whole(const Json& object, const char* field) {
+  const Json& value = need(object, field);
+  if (value.IsInt()) return value.GetInt();
+  wrong(field, "a whole number in range");
+}
+
+int whole_or(const Json& object, const char* field, int otherwise) {
+  return find(object, field) == nullptr ? otherwise : whole(object, field);
+}
+
+std::size_t index_or_zero(const Json& object, const char* field) {
+  const int value = whole_or(object, field, 0);
+  if (value < 0) wrong(field, "a whole number in range");
+  return static_cast<std::size_t>(value);
+}
+
+bool flag(const Json& object, const char* field) {
+  const Json* value = find(object, field);
+  if (value == nullptr) return false;
+  if (!value->IsBool()) wrong(field, "true or false");
+  return value->GetBool();
+}
+
+std::string_view text(const Json& object, const char* field) {
+  const Json& value = need(object, field);
+  if (!value.IsString()) wrong(field, "a string");
+  return {value.GetString(), value.GetStringLength()};
+}
+
+std::uint64_t token(const Json& object, const char* field) {
+  const Json& value = need(object, field);
+  if (!value.IsUint64()) wrong(field, "a whole number from 0");
+  return value.GetUint64();
+}
+
+const Json& array(const Json& object, const char* field) {
+  const Json& value = need(object, field);
+  if (!value.IsArray()) wrong(field, "an array");
+  return value;
+}
+
+qu::RequestClass read_class(const Json& in) {
+  qu::RequestClass out;
+  out.aim = number(in, "aim");
+  out.aim_stretch = number_or(in, "aimStretch", 0);
+  out.give_up = number(in, "giveUp");
+  out.late_worth = number_or(in, "lateWorth", 0);
+  const std::string_view effect = text(in, "effect");
+  if (effect == "safe") {
+    out.effect = qu::Effect::kSafe;
+  } else if (effect == "keyed") {
+    out.effect = qu::Effect::kKeyed;
+    const std::string_view group = text(in, "group");
+    if (group == "all") {
+      out.dedup_scope = qu::DedupScope::kAll;
+    } else if (group == "zone") {
+      out.dedup_scope = qu::DedupScope::kZone;
+    } else if (group == "cell") {
+      out.dedup_scope = qu::DedupScope::kCell;
+    } else {
+      throw std::invalid_argument("categories[].group: '" + std::string(group) + "' is unknown");
+    }
+    out.dedup_window = number_or(in, "dedupWindow", 0);
+  } else if (effect == "unsafe") {
+    out.effect = qu::Effect::kUnsafe;
+  } else {
+    throw std::invalid_argument("categories[].effect: '" + std::string(effect) + "' is unknown");
+  }
+  return out;
+}
+
+qu::Settings read_settings(const Json& in) {
+  qu::Settings out;
+  out.copy_index = whole(in, "position");
+  out.copy_count = whole(in, "peersTotal");
+  out.tier = whole_or(in, "stage", 0);
+  out.zone = whole_or(in, "zone", 0);
+  out.tick = number_or(in, "granularity", 0);
+  for (const Json& item : array(in, "categories").GetArray()) out.classes.push_back(read_class(item));
+  if (find(in, "realms") != nullptr) {
+    for (const Json& item : array(in, "realms").GetArray()) {
+      qu::Tenant tenant;
+      if (find(item, "allowancePerS") != nullptr) tenant.allowance = number(item, "allowancePerS");
+      out.tenants.push_back(tenant);
+    }
+  }
+  out.over_share_worth = number_or(in, "overShareWorth", 1);
+  const Json& bounds = need(in, "bounds");
+  out.max_attempts = whole_or(bounds, "maxAttempts", 1);
+  out.second_copies = flag(bounds, "secondCopies");
+  out.can_cancel = flag(bounds, "cancel");
+  out.max_retry_after = flag(bounds, "retryAfter") ? number_or(bounds, "maxRetryAfter", 0) : 0;
+  out.must_watch = find(in, "registryMode") != nullptr && text(in, "registryMode") == "subscribe";
+  if (const Json* rules = find(in, "rules")) {
+    out.ask_within = number_or(*rules, "askWithin", 0);
+    out.start_capacity = number_or(*rules, "startCapacity", 1);
+    out.ramp_time = number_or(*rules, "rampTime", 0);
+  }
+  if (const Json* fees = find(in, "fees")) out.cross_zone_price = number_or(*fees, "crossZone", 0);
+  return out;
+}
+
+qu::Outcome read_outcome(std::string_view name) {
+  if (name == "delivered") return qu::Outcome::kDelivered;
+  if (name == "app_error") return qu::Outcome::kError;
+  if (name == "shed") return qu::Outcome::kRejected;
+  if (name == "expired") return qu::Outcome::kTimedOut;
+  if (name == "dial_failed") return qu::Outcome::kDialFailed;
+  if (name == "dropped") return qu::Outcome::kReset;
+  if (name == "revoked") return qu::Outcome::kCancelled;
+  if (name == "unused") return qu::Outcome::kNotSent;
+  return qu::Outcome::kUnknown;
+}
+
+qu::Server read_server(const Json& in) {
+  qu::Server out;
+  out.address = text(in, "server");
+  out.zone = whole_or(in, "rackZone", 0);
+  out.cell = whole_or(in, "pack", 0);
+  out.weight = number_or(in, "units", 1);
+  out.started = number_or(in, "since", 0);
+  const std::string_view mode = text(in, "mode");
+  if (mode == "Ready") {
+    out.state = qu::ServerState::kReady;
+  } else if (mode == "Terminating") {
+    out.state = qu::ServerState::kDraining;
+  } else if (mode == "Gone") {
+    out.state = qu::ServerState::kGone;
+  } else {
+    wrong("mode", "Ready, Terminating or Gone");
+  }
+  return out;
+}
+
+qu::Request read_request(const Json& in) {
+  constexpr int kHintValid = 1;
+  constexpr int kClientRepeats = 2;
+  qu::Request out;
+  out.id = text(in, "txn");
+  out.tenant = index_or_zero(in, "account");
+  out.request_class = index_or_zero(in, "profile");
+  out.time_left = number(in, "timeLeft");
+  const int opts = whole_or(in, "opts", 0);
+  if ((opts & kHintValid) != 0 && find(in, "cost") != nullptr) out.work = number(in, "cost");
+  out.is_repeat = (opts & kClientRepeats) != 0;
+  return out;
+}
+
+// Writes one action as a JSON object.
+struct WriteAction {
+  Writer& out;
+
+  void start(const char* kind) const {
+    out.StartObject();
+    out.Key("kind");
+    out.String(kind);
+  }
+  void field(const char* name, const std::string& value) const {
+    out.Key(name);
+    out.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+  }
+  void field(const char* name, double value) const {
+    out.Key(name);
+    out.Double(value);
+  }
+  void operator()(const qu::Send& a) const {
+    start("CALL_OUT");
+    field("txn", a.id);
+    field("server", a.server);
+    field("patience", a.timeout);
+    out.EndObject();
+  }
+  void operator()(const qu::Refuse& a) const {
+    start("SAY_NO");
+    field("txn", a.id);
+    if (a.retry_after > 0) field("notBeforeFor", a.retry_after);
+    out.EndObject();
+  }
+  void operator()(const qu::Fail& a) const {
+    start("ERROR");
+    field("txn", a.id);
+    out.EndObject();
+  }
+  void operator()(const qu::Cancel& a) const {
+    start("ABANDON");
+    field("txn", a.id);
+    out.Key("try");
+    out.Int(a.attempt);
+    out.EndObject();
+  }
+  void operator()(const qu::SetTimer& a) const {
+    start("TIMER");
+    field("dueAt", a.at);
+    out.Key("keyBack");
+    out.Uint64(a.token);
+    out.EndObject();
+  }
+  void operator()(const qu::WatchMembers&) const {
+    start("TAIL");
+    out.Key("want");
+    out.Bool(true);
+    out.EndObject();
+  }
+  void operator()(const qu::LogLine& a) const {
+    start("JOURNAL_LINE");
+    field("noteText", a.text);
+    out.EndObject();
+  }
+};
+
+class Host {
+ public:
+  // Answers one batch; returns the reply line.
+  const rapidjson::StringBuffer& answer(const Json& batch) {
+    const double now = number(batch, "clock");
+    buffer_.Clear();
+    writer_.Reset(buffer_);
+    writer_.StartObject();
+    writer_.Key("turn");
+    writer_.Uint64(token(batch, "turn"));
+    writer_.Key("nodes");
+    writer_.StartArray();
+    for (const Json& node : array(batch, "nodes").GetArray()) answer_node(now, node);
+    writer_.EndArray();
+    writer_.EndObject();
+    return buffer_;
+  }
+
+ private:
+  void answer_node(double now, const Json& node) {
+    const int who = whole(node, "who");
+    std::unique_ptr<qu::Balancer>& balancer = balancers_[who];
+    actions_.clear();
+    std::optional<std::string> fault;
+    for (const Json& item : array(node, "news").GetArray()) {
+      try {
+        handle(now, item, balancer);
+      } catch (const BadMessage&) {
+        throw;
+      } catch (const std::exception& problem) {  // the library's own: the bench wants to hear of it
+        if (!fault) fault = problem.what();
+      }
+    }
+    if (actions_.empty() && !fault) return;
+    writer_.StartObject();
+    writer_.Key("who");
+    writer_.Int(who);
+    writer_.Key("steps");
+    writer_.StartArray();
+    for (const qu::Action& action : actions_) std::visit(WriteAction{writer_}, action);
+    if (fault) {
+      writer_.StartObject();
+      writer_.Key("kind");
+      writer_.String("PANIC");
+      writer_.Key("noteText");
+      writer_.String(fault->c_str());
+      writer_.EndObject();
+    }
+    writer_.EndArray();
+    writer_.EndObject();
+  }
+
+  void handle(double now, const Json& item, std::unique_ptr<qu::Balancer>& balancer) {
+    const std::string_view kind = text(item, "kind");
+    if (kind == "TABLE") {
+      read_table(item);
+      return;
+    }
+    if (kind == "OPEN_INSTANCE") {
+      balancer.reset();
+      balancer = std::make_unique<qu::Balancer>(read_settings(need(item, "config")), token(item, "initSeed"));
+      actions_.clear();  // what an instance said before it was stopped in this batch is void
+      balancer->handle(now, qu::Started{}, actions_);
+    } else if (kind == "POWER_OFF") {
+      balancer.reset();
+      actions_.clear();
+    } else if (const std::optional<qu::Event> event = read_event(kind, item); event && balancer != nullptr) {
+      balancer->handle(now, *event, actions_);
+    }
+  }
+
+  void read_table(const Json& item) {
+    std::vector<qu::Server> servers;
+    for (const Json& entry : array(item, "nodesList").GetArray()) servers.push_back(read_server(entry));
+    tables_[whole(item, "sheet")] = std::move(servers);
+  }
+
+  std::optional<qu::Event> read_event(std::string_view kind, const Json& item) const {
+    if (kind == "QUERY") return read_request(item);
+    if (kind == "DONE") {
+      return qu::AttemptResult{std::string(text(item, "txn")), whole_or(item, "try", 0),
+                               read_outcome(text(item, "outcome")), number_or(item, "lag", 0),
+                               flag(item, "doneFlag")};
+    }
+    if (kind == "FIRED") return qu::TimerFired{token(item, "keyBack")};
+    if (kind == "GONE") return qu::RequestGone{std::string(text(item, "txn"))};
+    if (kind == "DIRECTORY_UPDATE") return read_update(item);
+    if (kind == "ACK_FIRST") {
+      return qu::AnswerStarted{std::string(text(item, "txn")), whole_or(item, "try", 0),
+                               number_or(item, "lag", 0)};
+    }
+    return std::nullopt;  // STATUS_BACK, MEMO and kinds of later wires: nothing here asks for them
+  }
+
+  qu::MembershipUpdate read_update(const Json& item) const {
+    const std::string_view form = text(item, "form");
+    qu::MembershipUpdate out;
+    if (form == "X") {
+      out.form = qu::MembershipUpdate::Form::kFailed;
+      return out;
+    }
+    if (form == "D") {
+      out.form = qu::MembershipUpdate::Form::kChanges;
+    } else if (form != "F" && form != "C") {
+      wrong("form", "D, F, C or X");
+    }
+    const auto table = tables_.find(whole(item, "sheet"));
+    if (table == tables_.end()) wrong("sheet", "the number of a list that was sent");
+    out.servers = table->second;
+    return out;
+  }
+
+  std::map<int, std::unique_ptr<qu::Balancer>> balancers_;
+  std::map<int, std::vector<qu::Server>> tables_;  // the numbered lists, shared by the whole process
+  std::vector<qu::Action> actions_;
+  rapidjson::StringBuffer buffer_;
+  Writer writer_;
+};
+
+}  // namespace
+
+int main() {
+  std::ios::sync_with_stdio(false);
+  Host host;
+  std::string line;
+  std::uint64_t lines = 0;
+  while (std::getline(std::cin, line)) {
+    if (line.find_first_not_of(" \t\r") == std::string::npos) continue;
+    ++lines;
+    std::string turn = "unknown";
+    try {
+      rapidjson::Document batch;
+      batch.ParseInsitu(line.data());
+      if (batch.HasParseError()) {
+        throw BadMessage(std::string("not valid JSON: ") +
+                         rapidjson::GetParseError_En(batch.GetParseError()) + " at byte " +
+                         std::to_string(batch.GetErrorOffset()));
+      }
+      turn = std::to_string(token(batch, "turn"));
+      const rapidjson::StringBuffer& reply = host.answer(batch);
+      std::fwrite(reply.GetString(), 1, reply.GetSize(), stdout);
+      std::fputc('\n', stdout);
+      if (std::fflush(stdout) != 0) return 1;
+    } catch (const std::exception& problem) {
+      std::fprintf(stderr, "quinceusher_drill: line %llu, turn %s: %s\n",
+                   static_cast<unsigned long long>(lines), turn.c_str(), problem.what());
+      return 2;
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/support.h
@@ -0,0 +1,173 @@
+// What the decisions count and draw with; nothing here decides.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <vector>
+
+#include "quinceusher/balancer.h"
+
+namespace quinceusher {
+
+// Throws std::invalid_argument, naming the field, when the settings cannot be used.
+void validate(const Settings& settings);
+
+// splitmix64 with its own mapping to ranges: the same on every platform.
+class Random {
+ public:
+  explicit Random(std::uint64_t seed) : state_(seed) {}
+  std::uint64_t next() {
+    std::uint64_t z = (state_ += 0x9E3779B97F4A7C15ULL);
+    z = (z ^ (z >> 30)) * 0xBF58476D1CE4E5B9ULL;
+    z = (z ^ (z >> 27)) * 0x94D049BB133111EBULL;
+    return z ^ (z >> 31);
+  }
+  double unit() { return static_cast<double>(next() >> 11) * 0x1.0p-53; }
+  std::size_t below(std::size_t n) { return static_cast<std::size_t>(unit() * static_cast<double>(n)); }
+
+ private:
+  std::uint64_t state_;
+};
+
+// FNV-1a: orders servers alike at every copy, without regard to how addresses were handed out.
+inline std::uint64_t hash_of(const std::string& text) {
+  std::uint64_t h = 0xCBF29CE484222325ULL;
+  for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001B3ULL;
+  return Random(h).next();
+}
+
+// Total and declined calls of the last few seconds, in buckets; the latest of them also make the short rate.
+class SlidingWindow {
+ public:
+  struct Sums {
+    double total = 0, declined = 0, last_second = 0;
+  };
+  SlidingWindow(double bucket_s, int buckets, int short_buckets)
+      : bucket_s_(bucket_s), short_buckets_(short_buckets), buckets_(static_cast<std::size_t>(buckets)) {}
+
+  void add(double now, bool denied) {
+    const std::int64_t slot = slot_of(now), count = std::ssize(buckets_);
+    Bucket& bucket = buckets_[static_cast<std::size_t>(((slot % count) + count) % count)];
+    if (bucket.slot != slot) bucket = {slot, 0, 0};
+    bucket.total += 1;
+    if (denied) bucket.declined += 1;
+  }
+
+  Sums sums(double now) const {
+    const std::int64_t slot = slot_of(now);
+    Sums out;
+    for (const Bucket& bucket : buckets_) {
+      if (bucket.slot <= slot - std::ssize(buckets_)) continue;
+      out.total += bucket.total;
+      out.declined += bucket.declined;
+      if (bucket.slot > slot - short_buckets_) out.last_second += bucket.total;
+    }
+    return out;
+  }
+
+ private:
+  struct Bucket {
+    std::int64_t slot = std::numeric_limits<std::int64_t>::min() / 2;
+    double total = 0, declined = 0;
+  };
+  std::int64_t slot_of(double now) const { return static_cast<std::int64_t>(std::floor(now / bucket_s_)); }
+
+  double bucket_s_;
+  int short_buckets_;
+  std::vector<Bucket> buckets_;
+};
+
+// Events per second, with exponential forgetting.
+class FadingRate {
+ public:
+  explicit FadingRate(double memory_s) : memory_s_(memory_s) {}
+  double at(double now) const { return rate_ == 0 ? 0 : rate_ * std::exp((last_ - now) / memory_s_); }
+  void add(double now) {
+    rate_ = at(now) + 1 / memory_s_;
+    last_ = now;
+  }
+
+ private:
+  double memory_s_, rate_ = 0, last_ = 0;
+};
+
+// Mean and mean deviation, with exponential forgetting; the first samples count for more.
+struct Estimate {
+  double mean = 0, deviation = 0, samples = 0;
+  void add(double value, double least_gain) {
+    samples += 1;
+    const double gain = std::max(least_gain, 1 / (samples + 1));
+    deviation += gain * (std::abs(value - mean) - deviation);
+    mean += gain * (value - mean);
+  }
+};
+
+// A count that goes up and down, and its mean over time with exponential forgetting.
+class FadingLevel {
+ public:
+  explicit FadingLevel(double memory_s) : memory_s_(memory_s) {}
+  int level() const { return level_; }
+  double mean(double now) const { return level_ + (mean_ - level_) * std::exp((last_ - now) / memory_s_); }
+  void change(double now, int by) {
+    mean_ = mean(now);
+    last_ = now;
+    level_ += by;
+  }
+
+ private:
+  double memory_s_, mean_ = 0, last_ = 0;
+  int level_ = 0;
+};
+
+// Mean with forgetting by time, and by count where samples are many.
+class FadingMean {
+ public:
+  struct Sum {
+    double sum = 0, weight = 0;
+  };
+  FadingMean(double memory_s, double most) : memory_s_(memory_s), most_(most) {}
+  Sum at(double now) const {
+    const double kept = std::exp((last_ - now) / memory_s_);
+    return {told_.sum * kept, told_.weight * kept};
+  }
+  void add(double now, double value) {
+    const Sum old = at(now);
+    const double kept = old.weight > most_ - 1 ? (most_ - 1) / old.weight : 1;
+    told_ = {old.sum * kept + value, old.weight * kept + 1};
+    last_ = now;
+  }
+
+ private:
+  double memory_s_, most_, last_ = 0;
+  Sum told_;
+};
+
+struct Attempt {
+  std::size_t server = 0;
+  double sent = 0;
+  bool open = true, may_have_run = true;
+};
+
+// A request that still owes an answer, or has attempts out.
+struct Pending {
+  std::size_t tenant = 0, request_class = 0;
+  double useful_until = 0;  // when the answer becomes worthless
+  std::vector<Attempt> attempts;
+  bool finished = false, streaming = false;
+
+  bool any_open() const {
+    return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.open; });
+  }
+  bool may_have_run() const {
+    return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.may_have_run; });
+  }
+  bool tried(std::size_t server) const {
+    return std::any_of(attempts.begin(), attempts.end(),
+                       [=](const Attempt& a) { return a.server == server; });
+  }
+};
+
+}  // namespace quinceusher
--- /dev/null
+++ b/tests/mechanism_test.cpp
@@ -0,0 +1,361 @@
+// The mechanism on its own: suppression, limits, subsets, the pick.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <set>
+#include <stdexcept>
+
+#include "harness.h"
+
+namespace quinceusher {
+namespace {
+
+TEST(Suppression, FollowsTheWorkedFigures) {
+  EXPECT_NEAR(suppression_factor(10, 14, 14), 0.286, 0.0005);
+  EXPECT_NEAR(suppression_factor(10, 11.67, 12), 0.167, 0.0005);
+  EXPECT_NEAR(suppression_factor(10, 13.33, 15), 0.333, 0.0005);
+}
+
+TEST(Suppression, TakesTheHigherRateAndStaysInRange) {
+  EXPECT_DOUBLE_EQ(suppression_factor(10, 20, 5), 0.5);
+  EXPECT_DOUBLE_EQ(suppression_factor(10, 5, 20), 0.5);
+  EXPECT_DOUBLE_EQ(suppression_factor(10, 5, 5), 0);
+  EXPECT_DOUBLE_EQ(suppression_factor(10, 0, 0), 0);
+  EXPECT_DOUBLE_EQ(suppression_factor(std::numeric_limits<double>::infinity(), 5, 5), 0);
+}
+
+Settings one_tenant(double allowance) {
+  Settings s = basic_settings();
+  s.tenants = {{allowance}};
+  return s;
+}
+
+// Calls at a steady rate, each answered at once; returns how many were admitted.
+int offer(Copy& copy, double from, double seconds, double rate, const std::string& prefix,
+          Outcome outcome = Outcome::kDelivered) {
+  int admitted = 0;
+  const int calls = static_cast<int>(seconds * rate);
+  for (int i = 0; i < calls; ++i) {
+    copy.now = from + i / rate;
+    const std::string id = prefix + std::to_string(i);
+    if (all<Send>(copy.request(id)).empty()) continue;
+    ++admitted;
+    const auto after = copy.end(id, outcome);
+    for (const Send& again : all<Send>(after)) copy.end(again.id, Outcome::kDelivered, 1);
+  }
+  return admitted;
+}
+
+TEST(Admission, BelowTheLimitEverythingGoes) {
+  Copy copy(one_tenant(100));
+  copy.at(0, members(4));
+  EXPECT_EQ(offer(copy, 0, 10, 50, "a"), 500);
+  EXPECT_DOUBLE_EQ(copy.balancer.tenant(copy.now, 0).suppression_factor, 0);
+}
+
+TEST(Admission, AboveTheLimitTheRestIsDeniedSmoothly) {
+  Settings s = one_tenant(10);
+  s.over_share_worth = 0;  // the limit stays where it starts
+  Copy copy(s);
+  copy.at(0, members(4));
+  const double limit = copy.balancer.tenant(0, 0).rate_limit;
+  const int admitted = offer(copy, 0, 8, 4 * limit, "a");
+  const TenantView view = copy.balancer.tenant(copy.now, 0);
+  EXPECT_GT(admitted, 0.8 * limit * 8);
+  EXPECT_LT(admitted, 1.6 * limit * 8);
+  EXPECT_NEAR(view.suppression_factor, 1 - view.rate_limit / (4 * limit), 0.05);
+  EXPECT_GT(view.declined, 0);
+}
+
+TEST(Admission, AtTheHardLimitAllAreDenied) {
+  Copy copy(one_tenant(10));
+  copy.at(0, members(4));
+  const double limit = copy.balancer.tenant(0, 0).rate_limit;
+  const double flood = 400 * limit;
+  int late_admissions = 0;
+  for (int i = 0; i < static_cast<int>(flood); ++i) {
+    copy.now = i / flood;
+    const bool sent = !all<Send>(copy.request("r" + std::to_string(i))).empty();
+    if (i > flood * 0.9 && sent) ++late_admissions;
+  }
+  EXPECT_EQ(late_admissions, 0);
+  EXPECT_DOUBLE_EQ(copy.balancer.tenant(copy.now, 0).suppression_factor, 1);
+}
+
+TEST(Admission, TheWindowExpires) {
+  Copy copy(one_tenant(10));
+  copy.at(0, members(4));
+  for (int i = 0; i < 500; ++i) copy.request("r" + std::to_string(i));
+  EXPECT_GT(copy.balancer.tenant(0, 0).suppression_factor, 0.5);
+  EXPECT_DOUBLE_EQ(copy.balancer.tenant(1.35, 0).total, 500);
+  EXPECT_DOUBLE_EQ(copy.balancer.tenant(1.65, 0).total, 0);
+  EXPECT_DOUBLE_EQ(copy.balancer.tenant(1.65, 0).suppression_factor, 0);
+}
+
+// The factor is kept for 100 ms: a flood within that time is met with the factor from before it.
+TEST(Admission, TheFactorIsCached) {
+  Settings s = one_tenant(100);
+  s.over_share_worth = 0;
+  Copy copy(s);
+  copy.at(0, members(4));
+  const double limit = copy.balancer.tenant(0, 0).rate_limit;
+  const int soft = static_cast<int>(1.5 * limit);
+  const auto pour = [&](double time, int calls, const std::string& prefix) {
+    int admitted = 0;
+    for (int i = 0; i < calls; ++i) {
+      copy.now = time;
+      const std::string id = prefix + std::to_string(i);
+      if (all<Send>(copy.request(id)).empty()) continue;
+      ++admitted;
+      copy.end(id, Outcome::kDelivered);
+    }
+    return admitted;
+  };
+  EXPECT_EQ(pour(0, soft, "fill"), soft);
+  EXPECT_NEAR(pour(0.01, 1000, "cached"), 667, 60);  // the factor from when the flood began: a third
+  const double factor = copy.balancer.tenant(0.12, 0).suppression_factor;
+  EXPECT_GT(factor, 0.85);
+  EXPECT_NEAR(pour(0.12, 1000, "fresh"), 1000 * (1 - factor), 40);
+}
+
+TEST(Admission, ADenialIsARefusalUnsent) {
+  Copy copy(one_tenant(10));
+  copy.at(0, members(4));
+  int refused = 0;
+  for (int i = 0; i < 900; ++i) {
+    copy.now = 0.001 * i;
+    const auto actions = copy.request("r" + std::to_string(i));
+    EXPECT_EQ(all<Refuse>(actions).size() + all<Send>(actions).size(), 1U);
+    refused += static_cast<int>(all<Refuse>(actions).size());
+    if (!all<Send>(actions).empty()) copy.end("r" + std::to_string(i), Outcome::kDelivered);
+  }
+  EXPECT_GT(refused, 300);
+  EXPECT_EQ(copy.balancer.tenant(copy.now, 0).declined, refused);
+}
+
+TEST(Limit, RisesWhileCallsFinishInTime) {
+  Copy copy(one_tenant(10));
+  copy.at(0, members(4));
+  const double before = copy.balancer.tenant(0, 0).rate_limit;
+  offer(copy, 0, 10, before * 0.9, "a");
+  EXPECT_GT(copy.balancer.tenant(copy.now, 0).rate_limit, before);
+  EXPECT_LT(copy.balancer.tenant(copy.now, 0).rate_limit, before * 2);
+}
+
+TEST(Limit, DropsWhenCallsFailButKeepsAFloor) {
+  Copy copy(one_tenant(100));
+  copy.at(0, members(4));
+  offer(copy, 0, 40, 120, "up");
+  const double before = copy.balancer.tenant(copy.now, 0).rate_limit;
+  ASSERT_GT(before, 130);
+  offer(copy, 40, 5, before, "a", Outcome::kRejected);
+  EXPECT_LT(copy.balancer.tenant(copy.now, 0).rate_limit, before);
+  offer(copy, 45, 60, 50, "b", Outcome::kRejected);
+  EXPECT_GE(copy.balancer.tenant(copy.now, 0).rate_limit, 100);
+}
+
+TEST(Limit, OneReviewDropsItOnce) {
+  Copy copy(one_tenant(100));
+  copy.at(0, members(4));
+  offer(copy, 0, 0.9, 200, "a", Outcome::kRejected);
+  const double once = copy.balancer.tenant(copy.now, 0).rate_limit;
+  offer(copy, 0.9, 0.05, 200, "b", Outcome::kRejected);
+  EXPECT_DOUBLE_EQ(copy.balancer.tenant(copy.now, 0).rate_limit, once);
+}
+
+// Danger: at the rate for traffic beyond a share, a limit that an overload had pushed under the tenant's part
+// stayed there for the rest of the day.
+TEST(Limit, BelowThePartItRisesAtTheFullRate) {
+  Settings s = one_tenant(400);
+  s.over_share_worth = 0.05;
+  s.copy_count = 400;
+  Copy copy(s);
+  copy.at(0, members(20));
+  offer(copy, 0, 40, 1, "bad", Outcome::kRejected);
+  const double low = copy.balancer.tenant(copy.now, 0).rate_limit;
+  ASSERT_LT(low, 0.6);
+  offer(copy, 40, 20, 1, "good");
+  EXPECT_GT(copy.balancer.tenant(copy.now, 0).rate_limit, 1.5 * low);
+}
+
+// Danger: with its own zone alone, a zone with more traffic than servers drowns beside an idle one.
+TEST(Subset, ACrowdedZoneUsesOtherZonesToo) {
+  const auto far_share = [](double near_answer) {
+    Settings s = basic_settings();
+    s.cross_zone_price = 0.01;
+    Copy copy(s);
+    MembershipUpdate m;
+    for (int i = 0; i < 12; ++i) m.servers.push_back(server(i, i % 2));
+    copy.at(0, m);
+    int far = 0;
+    for (int i = 0; i < 600; ++i) {
+      copy.now = i * 0.5;
+      const std::string id = std::to_string(i);
+      for (const Send& send : all<Send>(copy.request(id))) {
+        const bool crossed = (send.server.back() - '0') % 2 == 1;
+        far += crossed ? 1 : 0;
+        copy.end(id, Outcome::kDelivered, 0, crossed ? 0.12 : near_answer);
+      }
+    }
+    return far / 600.0;
+  };
+  EXPECT_LT(far_share(0.1), 0.1) << "crossing has a price; chance in the answer times must not pay it";
+  EXPECT_GT(far_share(0.5), 0.4);
+}
+
+TEST(Subset, CoversEvenly) {
+  for (std::size_t copies = 1; copies <= 40; ++copies) {
+    for (std::size_t servers = 1; servers <= 45; servers += 4) {
+      for (const std::size_t size : {3U, 8U}) {
+        std::vector<int> uses(servers, 0);
+        for (std::size_t i = 0; i < copies; ++i) {
+          const auto subset = subset_of(i, copies, servers, size);
+          EXPECT_EQ(std::set<std::size_t>(subset.begin(), subset.end()).size(), std::min(size, servers));
+          for (const std::size_t at : subset) ++uses[at];
+        }
+        const auto [least, most] = std::minmax_element(uses.begin(), uses.end());
+        // Starts of one copy or of evenly spread ones: no server is used by over one copy more than another.
+        EXPECT_LE(*most - *least, 1) << copies << " copies, " << servers << " servers, size " << size;
+      }
+    }
+  }
+}
+
+TEST(Subset, MovesLittleWhenOneServerLeaves) {
+  for (const int copies : {3, 7, 12}) {
+    for (int index = 0; index < copies; ++index) {
+      Settings s = basic_settings();
+      s.copy_index = index;
+      s.copy_count = copies;
+      const auto used = [&](bool without_one) {
+        Copy copy(s);
+        MembershipUpdate m = members(24);
+        if (without_one) m.servers.erase(m.servers.begin() + 5);
+        copy.at(0, m);
+        std::set<std::string> out;
+        for (int i = 0; i < 400; ++i) {
+          const std::string id = std::to_string(i);
+          for (const Send& send : all<Send>(copy.request(id))) out.insert(send.server);
+          copy.end(id, Outcome::kDelivered);
+        }
+        return out;
+      };
+      const auto before = used(false);
+      const auto after = used(true);
+      std::vector<std::string> kept;
+      std::set_intersection(before.begin(), before.end(), after.begin(), after.end(),
+                            std::back_inserter(kept));
+      EXPECT_GE(kept.size() + 2, before.size());
+    }
+  }
+}
+
+// Danger: with a subset of fixed size a lone copy would leave most of a large tier without work.
+TEST(Subset, FewCopiesStillReachEveryServer) {
+  std::set<std::string> used;
+  for (int index = 0; index < 2; ++index) {
+    Settings s = basic_settings();
+    s.copy_index = index;
+    s.copy_count = 2;
+    Copy copy(s);
+    copy.at(0, members(40));
+    for (int i = 0; i < 200; ++i) {
+      for (const Send& send : all<Send>(copy.request(std::to_string(i)))) used.insert(send.server);
+    }
+  }
+  EXPECT_EQ(used.size(), 40U);
+}
+
+TEST(Pick, PrefersTheLessBusy) {
+  Settings s = basic_settings();
+  Copy copy(s);
+  copy.at(0, members(2));
+  std::map<std::string, int> held;
+  for (int i = 0; i < 10; ++i) {
+    for (const Send& send : all<Send>(copy.request(std::to_string(i)))) ++held[send.server];
+  }
+  EXPECT_EQ(held["s0"], 5);
+  EXPECT_EQ(held["s1"], 5);
+}
+
+// Danger: comparing sizes, a copy with nothing in flight gave every call to the largest server.
+TEST(Pick, SizeCountsInTheDraw) {
+  Copy copy(basic_settings());
+  MembershipUpdate m = members(2);
+  m.servers[1].weight = 3;
+  copy.at(0, m);
+  std::map<std::string, int> used;
+  for (int i = 0; i < 400; ++i) {
+    copy.now = i * 0.4;
+    for (const Send& send : all<Send>(copy.request(std::to_string(i)))) ++used[send.server];
+    copy.end(std::to_string(i), Outcome::kDelivered);
+  }
+  EXPECT_NEAR(used["s0"], 100, 30);
+  EXPECT_NEAR(used["s1"], 300, 30);
+}
+
+TEST(Pick, TheSameSeedAndEventsGiveTheSameActions) {
+  const auto run = [] {
+    Copy copy(basic_settings(), 99);
+    copy.at(5, members(12));
+    std::string out;
+    for (int i = 0; i < 200; ++i) {
+      for (const Send& send : all<Send>(copy.request(std::to_string(i)))) out += send.server + " ";
+    }
+    return out;
+  };
+  EXPECT_EQ(run(), run());
+}
+
+TEST(Settings, UnusableOnesAreNamed) {
+  const auto message = [](auto change) {
+    Settings s = basic_settings();
+    s.tenants = {{1.0}};
+    change(s);
+    try {
+      const Balancer b(s, 1);
+    } catch (const std::invalid_argument& problem) {
+      return std::string(problem.what());
+    }
+    return std::string("accepted");
+  };
+  const auto names = [&](auto change, const char* field) {
+    EXPECT_NE(message(change).find(field), std::string::npos) << field << ": " << message(change);
+  };
+  names([](Settings& s) { s.copy_count = 0; }, "copy_count");
+  names([](Settings& s) { s.copy_index = 1; }, "copy_index");
+  names([](Settings& s) { s.copy_index = -1; }, "copy_index");
+  names([](Settings& s) { s.tick = -1; }, "tick");
+  names([](Settings& s) { s.tier = -1; }, "tier");
+  names([](Settings& s) { s.max_attempts = 0; }, "max_attempts");
+  names([](Settings& s) { s.max_retry_after = -1; }, "max_retry_after");
+  names([](Settings& s) { s.ask_within = -1; }, "ask_within");
+  names([](Settings& s) { s.ramp_time = -1; }, "ramp_time");
+  names([](Settings& s) { s.over_share_worth = -1; }, "over_share_worth");
+  names([](Settings& s) { s.start_capacity = 1.5; }, "start_capacity");
+  names([](Settings& s) { s.classes[0].effect = static_cast<Effect>(9); }, "effect");
+  names([](Settings& s) { s.classes[0].dedup_scope = static_cast<DedupScope>(9); }, "dedup_scope");
+  names([](Settings& s) { s.classes[0].aim = -1; }, "aim");
+  names([](Settings& s) { s.classes[0].give_up = -1; }, "give_up");
+  names([](Settings& s) { s.classes[0].dedup_window = -1; }, "dedup_window");
+  names([](Settings& s) { s.tenants[0].allowance = -1; }, "allowance");
+  names([](Settings& s) { s.classes[0].aim = std::numeric_limits<double>::quiet_NaN(); }, "aim");
+  EXPECT_EQ(message([](Settings&) {}), "accepted");
+}
+
+TEST(Settings, NumbersOutOfRangeAreHarmless) {
+  Copy copy(basic_settings());
+  copy.at(0, members(2));
+  EXPECT_EQ(all<Send>(copy.request("a", 77, 88)).size(), 1U);
+  EXPECT_TRUE(copy.end("a", Outcome::kDelivered, 9).empty());
+  EXPECT_TRUE(copy.end("a", Outcome::kDelivered, -1).empty());
+  EXPECT_TRUE(copy.end("never", Outcome::kDelivered).empty());
+  EXPECT_TRUE(copy.at(0, TimerFired{12345}).empty());
+  EXPECT_TRUE(copy.at(0, RequestGone{"never"}).empty());
+  EXPECT_GE(copy.balancer.tenant(0, 1234).rate_limit, 0);
+}
+
+}  // namespace
+}  // namespace quinceusher
