Add the node: one program on real sockets around the decisions

Seen: the module had an adapter for the simulator only. The settings' reader moves from the adapter to json/, used by both programs; node/ holds the event loop on Boost.Asio and Beast.

--- /dev/null
+++ b/json/read.cpp
@@ -0,0 +1,137 @@
+#include "json/read.h"
+
+namespace quinceusher::json {
+
+void wrong(const char* field, const char* wanted) {
+  throw BadMessage(std::string("field '") + field + "' is not " + wanted);
+}
+
+const Json* find(const Json& object, const char* field) {
+  if (!object.IsObject()) throw BadMessage(std::string("not an object where field '") + field + "' belongs");
+  const auto it = object.FindMember(field);
+  return it == object.MemberEnd() || it->value.IsNull() ? nullptr : &it->value;
+}
+
+const Json& need(const Json& object, const char* field) {
+  const Json* value = find(object, field);
+  if (value == nullptr) throw BadMessage(std::string("field '") + field + "' is missing");
+  return *value;
+}
+
+double number(const Json& object, const char* field) {
+  const Json& value = need(object, field);
+  if (!value.IsNumber()) wrong(field, "a number");
+  return value.GetDouble();
+}
+
+double number_or(const Json& object, const char* field, double otherwise) {
+  return find(object, field) == nullptr ? otherwise : number(object, field);
+}
+
+int whole(const Json& object, const char* field) {
+  const Json& value = need(object, field);
+  if (value.IsInt()) return value.GetInt();
+  wrong(field, "a whole number in range");
+}
+
+int whole_or(const Json& object, const char* field, int otherwise) {
+  return find(object, field) == nullptr ? otherwise : whole(object, field);
+}
+
+std::size_t index_or_zero(const Json& object, const char* field) {
+  const int value = whole_or(object, field, 0);
+  if (value < 0) wrong(field, "a whole number in range");
+  return static_cast<std::size_t>(value);
+}
+
+bool flag(const Json& object, const char* field) {
+  const Json* value = find(object, field);
+  if (value == nullptr) return false;
+  if (!value->IsBool()) wrong(field, "true or false");
+  return value->GetBool();
+}
+
+std::string_view text(const Json& object, const char* field) {
+  const Json& value = need(object, field);
+  if (!value.IsString()) wrong(field, "a string");
+  return {value.GetString(), value.GetStringLength()};
+}
+
+std::uint64_t token(const Json& object, const char* field) {
+  const Json& value = need(object, field);
+  if (!value.IsUint64()) wrong(field, "a whole number from 0");
+  return value.GetUint64();
+}
+
+const Json& array(const Json& object, const char* field) {
+  const Json& value = need(object, field);
+  if (!value.IsArray()) wrong(field, "an array");
+  return value;
+}
+
+namespace {
+
+RequestClass read_class(const Json& in) {
+  RequestClass out;
+  out.aim = number(in, "aim");
+  out.aim_stretch = number_or(in, "aimStretch", 0);
+  out.give_up = number(in, "giveUp");
+  out.late_worth = number_or(in, "lateWorth", 0);
+  const std::string_view effect = text(in, "effect");
+  if (effect == "safe") {
+    out.effect = Effect::kSafe;
+  } else if (effect == "keyed") {
+    out.effect = Effect::kKeyed;
+    const std::string_view group = text(in, "group");
+    if (group == "all") {
+      out.dedup_scope = DedupScope::kAll;
+    } else if (group == "zone") {
+      out.dedup_scope = DedupScope::kZone;
+    } else if (group == "cell") {
+      out.dedup_scope = DedupScope::kCell;
+    } else {
+      throw std::invalid_argument("categories[].group: '" + std::string(group) + "' is unknown");
+    }
+    out.dedup_window = number_or(in, "dedupWindow", 0);
+  } else if (effect == "unsafe") {
+    out.effect = Effect::kUnsafe;
+  } else {
+    throw std::invalid_argument("categories[].effect: '" + std::string(effect) + "' is unknown");
+  }
+  return out;
+}
+
+}  // namespace
+
+Settings read_settings(const Json& in) {
+  Settings out;
+  out.copy_index = whole(in, "position");
+  out.copy_count = whole(in, "peersTotal");
+  out.tier = whole_or(in, "stage", 0);
+  out.zone = whole_or(in, "zone", 0);
+  out.tick = number_or(in, "granularity", 0);
+  for (const Json& item : array(in, "categories").GetArray()) out.classes.push_back(read_class(item));
+  if (find(in, "realms") != nullptr) {
+    for (const Json& item : array(in, "realms").GetArray()) {
+      Tenant tenant;
+      if (find(item, "allowancePerS") != nullptr) tenant.allowance = number(item, "allowancePerS");
+      out.tenants.push_back(tenant);
+    }
+  }
+  out.over_share_worth = number_or(in, "overShareWorth", 1);
+  const Json& bounds = need(in, "bounds");
+  out.max_attempts = whole_or(bounds, "maxAttempts", 1);
+  out.second_copies = flag(bounds, "secondCopies");
+  out.can_cancel = flag(bounds, "cancel");
+  out.max_retry_after = flag(bounds, "retryAfter") ? number_or(bounds, "maxRetryAfter", 0) : 0;
+  out.must_watch = find(in, "registryMode") != nullptr && text(in, "registryMode") == "subscribe";
+  if (const Json* rules = find(in, "rules")) {
+    out.ask_within = number_or(*rules, "askWithin", 0);
+    out.start_capacity = number_or(*rules, "startCapacity", 1);
+    out.ramp_time = number_or(*rules, "rampTime", 0);
+  }
+  if (const Json* fees = find(in, "fees")) out.cross_zone_price = number_or(*fees, "crossZone", 0);
+  return out;
+}
+
+}  // namespace quinceusher::json
--- /dev/null
+++ b/json/read.h
@@ -0,0 +1,37 @@
+// Fields of JSON objects, and the settings of a copy: one reader for the bench adapter and the node.
+#pragma once
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "quinceusher/balancer.h"
+#include "rapidjson/document.h"
+
+namespace quinceusher::json {
+
+using Json = rapidjson::Value;
+
+// What is wrong with a message; the text names the field.
+struct BadMessage : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+[[noreturn]] void wrong(const char* field, const char* wanted);
+const Json* find(const Json& object, const char* field);  // null where it is absent or null
+const Json& need(const Json& object, const char* field);
+double number(const Json& object, const char* field);
+double number_or(const Json& object, const char* field, double otherwise);
+int whole(const Json& object, const char* field);
+int whole_or(const Json& object, const char* field, int otherwise);
+std::size_t index_or_zero(const Json& object, const char* field);
+bool flag(const Json& object, const char* field);
+std::string_view text(const Json& object, const char* field);
+std::uint64_t token(const Json& object, const char* field);
+const Json& array(const Json& object, const char* field);
+
+// Throws BadMessage, or std::invalid_argument for a name that is unknown.
+Settings read_settings(const Json& in);
+
+}  // namespace quinceusher::json
--- /dev/null
+++ b/node/discovery.cpp
@@ -0,0 +1,165 @@
+#include "node/discovery.h"
+
+#include <algorithm>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "node/engine.h"
+
+namespace nettlestand {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
+constexpr auto kConnectLimit = std::chrono::seconds(2);
+constexpr auto kSilenceLimit = std::chrono::seconds(6);   // three periods of its empty lines
+constexpr std::size_t kLongestLine = 8 * 1024 * 1024;     // bytes
+constexpr double kFirstBackoff = 0.25, kMostBackoff = 5;  // s
+
+}  // namespace
+
+class Discovery::Watch : public std::enable_shared_from_this<Watch> {
+ public:
+  explicit Watch(Discovery& owner) : owner_(owner), stream_(owner.io_) {
+    parser_.body_limit(boost::none);
+    parser_.eager(true);
+  }
+
+  void start() {
+    request_.method(http::verb::get);
+    request_.target("/v1/servers?stream=1" +
+                    (owner_.seq_ ? "&index=" + std::to_string(*owner_.seq_) : std::string()));
+    request_.version(11);
+    request_.set(http::field::host, owner_.config_.discovery.address().to_string() + ":" +
+                                        std::to_string(owner_.config_.discovery.port()));
+    stream_.expires_after(kConnectLimit);
+    stream_.async_connect(owner_.config_.discovery, [self = shared_from_this()](const error_code& error) {
+      if (error) return self->fail("connect: " + error.message());
+      self->ask();
+    });
+  }
+
+  void close() {
+    closed_ = true;
+    stream_.close();
+  }
+
+ private:
+  void ask() {
+    stream_.expires_after(kSilenceLimit);
+    http::async_write(stream_, request_, [self = shared_from_this()](const error_code& error, std::size_t) {
+      if (error) return self->fail("write: " + error.message());
+      self->await_answer();
+    });
+  }
+
+  void await_answer() {
+    http::async_read_header(stream_, buffer_, parser_,
+                            [self = shared_from_this()](const error_code& error, std::size_t) {
+                              if (error) return self->fail("answer: " + error.message());
+                              const unsigned status = self->parser_.get().result_int();
+                              if (status != 200)
+                                return self->fail("answer: status " + std::to_string(status));
+                              self->take_lines();
+                            });
+  }
+
+  // Guards against a watch that is silent but up: without its empty lines for so long it counts as broken.
+  void read() {
+    stream_.expires_after(kSilenceLimit);
+    http::async_read_some(stream_, buffer_, parser_,
+                          [self = shared_from_this()](const error_code& error, std::size_t) {
+                            if (error) return self->fail("watch: " + error.message());
+                            self->take_lines();
+                          });
+  }
+
+  // What is cut in the middle of a line is dropped with its connection; only whole lines count.
+  void take_lines() {
+    std::string& body = parser_.get().body();
+    lines_.append(body);
+    body.clear();
+    std::size_t from = 0;
+    for (std::size_t end; !closed_ && (end = lines_.find('\n', from)) != std::string::npos; from = end + 1) {
+      const std::string_view line(lines_.data() + from, end - from);
+      if (line.find_first_not_of(" \t\r") == std::string_view::npos) continue;
+      ServerList list;
+      try {
+        list = read_list(line, owner_.config_.zones);
+      } catch (const std::exception& problem) {
+        owner_.seq_.reset();  // the whole list next time, or the same line would come for ever
+        return fail(std::string("watch: ") + problem.what());
+      }
+      owner_.came(std::move(list));
+    }
+    if (closed_) return;
+    lines_.erase(0, from);
+    if (lines_.size() > kLongestLine) return fail("watch: a line too long");
+    if (parser_.is_done()) return fail("watch: ended");
+    read();
+  }
+
+  void fail(const std::string& why) {
+    if (closed_) return;
+    close();
+    owner_.failed(this, why);
+  }
+
+  Discovery& owner_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  http::request<http::empty_body> request_;
+  http::response_parser<http::string_body> parser_;
+  std::string lines_;
+  bool closed_ = false;
+};
+
+Discovery::Discovery(boost::asio::io_context& io, const Config& config, Listeners listeners)
+    : io_(io),
+      config_(config),
+      listeners_(std::move(listeners)),
+      random_(static_cast<std::minstd_rand::result_type>(config.seed)),
+      again_(io) {
+  if (config.known) seq_ = config.known->seq;
+}
+
+Discovery::~Discovery() = default;
+
+void Discovery::watch() {
+  if (current_) return;
+  current_ = std::make_shared<Watch>(*this);
+  current_->start();
+}
+
+void Discovery::came(ServerList&& list) {
+  if (!well_) log_line("discovery: heard again");
+  well_ = true;
+  backoff_ = 0;
+  seq_ = list.seq;
+  listeners_.list(list);
+}
+
+void Discovery::failed(const Watch* which, const std::string& why) {
+  if (current_.get() != which) return;
+  current_.reset();
+  if (well_) log_line("discovery: " + why + "; the last list is kept");
+  well_ = false;
+  if (!config_.settings.must_watch) {
+    // Jittered: all nodes lose it at once and must not come back at once.
+    backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kMostBackoff);
+    again_.expires_after(std::chrono::milliseconds(
+        static_cast<int>(1000 * backoff_ * std::uniform_real_distribution<>(0.5, 1.0)(random_))));
+    again_.async_wait([this](const error_code& error) {
+      if (!error) watch();
+    });
+  }
+  listeners_.failed();
+}
+
+}  // namespace nettlestand
--- /dev/null
+++ b/node/main.cpp
@@ -0,0 +1,123 @@
+// nettlestand: one node of the load balancer. See README.md for its configuration.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <functional>
+#include <iterator>
+#include <stdexcept>
+#include <string>
+
+#include "node/config.h"
+#include "node/discovery.h"
+#include "node/engine.h"
+#include "node/listener.h"
+
+namespace {
+
+namespace asio = boost::asio;
+namespace ns = nettlestand;
+
+constexpr std::size_t kOtherSockets = 40;  // the event loop's, standard ones, discovery, and headroom
+constexpr int kBadConfig = 2, kCannotStart = 1;
+
+// After SIGTERM, new connections still come for up to 0.4 s, and SIGKILL no sooner than 3.7 s after it.
+constexpr double kAcceptOn = 0.6;      // s
+constexpr double kLastAnswers = 3.45;  // s; what is open then is answered as for its deadline
+constexpr double kExit = 3.55;         // s
+constexpr auto kDrainLook = std::chrono::milliseconds(20);
+
+ns::Config load() {
+  const char* path = std::getenv("GW_CONFIG");
+  if (path == nullptr) throw std::runtime_error("GW_CONFIG is not set");
+  std::ifstream in(path);
+  if (!in) throw std::runtime_error(std::string("can't read ") + path);
+  const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+  return ns::read_config(text);
+}
+
+class Node {
+ public:
+  explicit Node(const ns::Config& config)
+      : io_(1),
+        sockets_(config.sockets - kOtherSockets),
+        discovery_(io_, config,
+                   {[this](const ns::ServerList& list) { engine_.list_came(list); },
+                    [this] { engine_.watch_failed(); }}),
+        engine_(io_, config, sockets_ * 9 / 20, [this] { discovery_.watch(); }),
+        listener_(io_, config, engine_, sockets_ * 11 / 20),
+        signals_(io_, SIGTERM, SIGINT),
+        look_(io_) {}
+
+  void run() {
+    engine_.start();
+    signals_.async_wait([this](const boost::system::error_code& error, int) {
+      if (!error) drain();
+    });
+    while (!io_.stopped()) {
+      try {
+        io_.run();
+      } catch (const std::exception& surprise) {  // one connection's trouble must not end the others
+        ns::log_line(std::string("surprise: ") + surprise.what());
+      }
+    }
+  }
+
+ private:
+  void drain() {
+    ns::log_line("draining");
+    drain_began_ = ns::now();
+    listener_.drain();
+    look();
+  }
+
+  void look() {
+    const double since = ns::now() - drain_began_;
+    if (since >= kAcceptOn) {
+      if (accepting_) listener_.stop_accepting();
+      accepting_ = false;
+      listener_.drain();  // what was accepted late and has sent nothing
+    }
+    if (since >= kLastAnswers) engine_.expire_all();
+    if ((!accepting_ && since >= kAcceptOn + 0.1 && listener_.connections() == 0) || since >= kExit) {
+      ns::log_line("drained");
+      return io_.stop();
+    }
+    look_.expires_after(kDrainLook);
+    look_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) look();
+    });
+  }
+
+  asio::io_context io_;
+  const std::size_t sockets_;
+  ns::Discovery discovery_;
+  ns::Engine engine_;
+  ns::Listener listener_;
+  asio::signal_set signals_;
+  asio::steady_timer look_;
+  double drain_began_ = 0;
+  bool accepting_ = true;
+};
+
+}  // namespace
+
+int main() {
+  std::signal(SIGPIPE, SIG_IGN);
+  int failure = kBadConfig;
+  try {
+    const ns::Config config = load();
+    failure = kCannotStart;
+    Node node(config);
+    node.run();
+    std::_Exit(0);  // what is still open ends with the process
+  } catch (const std::exception& problem) {
+    std::fprintf(stderr, "nettlestand: %s\n", problem.what());
+  }
+  return failure;
+}
--- /dev/null
+++ b/node/upstream.cpp
@@ -0,0 +1,375 @@
+#include "node/upstream.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <cmath>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace nettlestand {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using quinceusher::Outcome;
+
+constexpr std::size_t kBodyLimit = 64 * 1024;  // bytes, as the protocol has it
+constexpr std::size_t kReadSize = 16 * 1024;   // bytes
+constexpr double kKeepIdle = 0.8;              // of the servers' idle time; what is older is closed, not used
+constexpr auto kSweepPeriod = std::chrono::milliseconds(250);
+
+std::chrono::nanoseconds duration(double seconds) {
+  return std::chrono::nanoseconds(static_cast<std::int64_t>(std::max(0.0, seconds) * 1e9));
+}
+
+}  // namespace
+
+// One connection and, while it carries one, the attempt on it.
+class Upstream::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  enum class State { kConnecting, kWriting, kReading, kParked, kClosed };
+
+  Connection(Upstream& pool, std::string server)
+      : pool_(pool), server(std::move(server)), socket_(pool.io_), timer_(pool.io_) {
+    ++pool_.open_;
+  }
+  ~Connection() { --pool_.open_; }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  void begin(std::uint64_t serial, std::shared_ptr<const Forward> request, double timeout, Done done) {
+    serial_ = serial;
+    request_ = std::move(request);
+    give_up_at_ = now() + timeout;
+    done_ = std::move(done);
+    parser_.emplace();
+    parser_->body_limit(kBodyLimit);
+    parser_->eager(true);
+    written_ = 0;
+    out_.clear();
+  }
+
+  void connect(const tcp::endpoint& to) {
+    error_code error;
+    socket_.open(to.protocol(), error);
+    if (error) return end(Outcome::kNotSent, false);  // no descriptor left: nothing to do with the server
+    socket_.set_option(tcp::no_delay(true), error);
+    socket_.non_blocking(true, error);
+    arm_timer(std::min(give_up_at_, now() + pool_.connect_timeout_));
+    socket_.async_connect(to, [self = shared_from_this()](const error_code& failed) {
+      if (self->state != State::kConnecting) return;
+      if (Server* known = self->pool_.find(self->server)) known->connecting.erase(self);
+      if (failed) return self->end(Outcome::kDialFailed, false);
+      self->start_writing();
+    });
+  }
+
+  void start_writing() {
+    state = State::kWriting;
+    arm_timer(give_up_at_);
+    const double left = std::max(1.0, std::floor((give_up_at_ - now()) * 1000));
+    out_ = request_->head;
+    out_ += "Request-Timeout-Ms: " + std::to_string(static_cast<std::int64_t>(left)) + "\r\n\r\n";
+    out_ += request_->body;
+    write();
+  }
+
+  void stop(std::uint64_t serial, Outcome outcome) {
+    if (serial == serial_ && done_) end(outcome, false);
+  }
+
+  Handle handle() { return {weak_from_this(), serial_}; }
+
+  // Whether the server has closed it, or has said what nobody asked for, while it was parked.
+  bool stale() {
+    char byte = 0;
+    const ssize_t got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+
+  // Ends the attempt, if there is one, and with it the connection unless it may be kept.
+  void end(Outcome outcome, bool keep) {
+    AttemptEnd result{outcome, {}, {}};
+    if (outcome == Outcome::kDelivered) {
+      result.content_type = std::string(parser_->get()[http::field::content_type]);
+      result.body = std::move(parser_->get().body());
+    }
+    timer_.cancel();
+    const Done done = std::exchange(done_, nullptr);
+    parser_.reset();
+    request_.reset();
+    if (keep) {
+      pool_.park(shared_from_this());
+    } else {
+      close();
+    }
+    if (done) done(std::move(result));
+  }
+
+  void close() {
+    if (state == State::kConnecting) {
+      if (Server* known = pool_.find(server)) known->connecting.erase(shared_from_this());
+    }
+    state = State::kClosed;
+    error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+  }
+
+ private:
+  void arm_timer(double at) {
+    timer_.expires_after(duration(at - now()));
+    timer_.async_wait([self = shared_from_this(), serial = serial_](const error_code& error) {
+      if (!error && serial == self->serial_ && self->done_) self->expire();
+    });
+  }
+
+  // Guards against taking a sent request for one that never ran: only bytes still here prove it.
+  void expire() {
+    if (state == State::kConnecting && now() < give_up_at_) return end(Outcome::kDialFailed, false);
+    if (now() < give_up_at_) return arm_timer(give_up_at_);  // an older deadline's shot
+    end(state == State::kReading ? Outcome::kTimedOut : Outcome::kDialFailed, false);
+  }
+
+  // The writing is done here and not by a composed operation, which would tell of the last byte only later:
+  // in between, a time-out would take a request that is out for one that is not.
+  void write() {
+    while (written_ < out_.size()) {
+      error_code error;
+      written_ += socket_.write_some(asio::buffer(out_.data() + written_, out_.size() - written_), error);
+      if (error == asio::error::would_block) {
+        socket_.async_wait(tcp::socket::wait_write,
+                           [self = shared_from_this(), serial = serial_](const error_code& failed) {
+                             if (self->state != State::kWriting || serial != self->serial_) return;
+                             if (failed) return self->end(Outcome::kDialFailed, false);
+                             self->write();
+                           });
+        return;
+      }
+      if (error) return end(Outcome::kDialFailed, false);
+    }
+    out_.clear();
+    out_.shrink_to_fit();
+    state = State::kReading;
+    wait_readable();
+  }
+
+  // At most one wait is out; it stays out while the connection is parked and is taken over by the next use.
+  void wait_readable() {
+    if (waiting_ || state == State::kClosed) return;
+    waiting_ = true;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
+      self->waiting_ = false;
+      if (self->state == State::kParked) {
+        self->pool_.unpark(self);
+        self->close();
+      } else if (self->state == State::kReading) {
+        if (error) return self->end(Outcome::kReset, false);
+        self->read();
+      }
+    });
+  }
+
+  void read() {
+    error_code error;
+    const std::size_t got = socket_.read_some(in_.prepare(kReadSize), error);
+    in_.commit(got);
+    if (error == asio::error::would_block) return wait_readable();
+    if (error) return end(Outcome::kReset, false);  // an answer without a length ends here too: perhaps cut
+    while (in_.size() > 0 && !parser_->is_done()) {
+      const std::size_t used = parser_->put(in_.data(), error);
+      in_.consume(used);
+      if (error == http::error::need_more) break;
+      if (error) return end(Outcome::kUnknown, false);
+      if (parser_->is_done() && is_interim()) {
+        parser_.emplace();
+        parser_->body_limit(kBodyLimit);
+        parser_->eager(true);
+      } else if (used == 0) {
+        break;
+      }
+    }
+    if (!parser_->is_done()) return wait_readable();
+    end(outcome(), parser_->get().keep_alive() && in_.size() == 0);
+  }
+
+  bool is_interim() const {
+    const unsigned status = parser_->get().result_int();
+    return status >= 100 && status < 200 && status != 101;
+  }
+
+  // Only the two statuses with the server's word for it prove that a request never ran.
+  Outcome outcome() const {
+    const http::response<http::string_body>& answer = parser_->get();
+    const unsigned status = answer.result_int();
+    if (status == 200) return Outcome::kDelivered;
+    if ((status == 503 || status == 504) && answer["Not-Started"] == "1") return Outcome::kRejected;
+    return status >= 500 ? Outcome::kError : Outcome::kUnknown;
+  }
+
+  Upstream& pool_;
+
+ public:
+  const std::string server;
+  State state = State::kConnecting;
+  double parked_at = 0;
+  std::list<std::shared_ptr<Connection>>::iterator place;  // among all that are parked
+  void stay_readable() { wait_readable(); }
+
+ private:
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  bool waiting_ = false;
+  boost::beast::flat_buffer in_;
+  std::string out_;
+  std::size_t written_ = 0;
+  std::uint64_t serial_ = 0;
+  std::shared_ptr<const Forward> request_;
+  double give_up_at_ = 0;
+  Done done_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+};
+
+Upstream::Upstream(asio::io_context& io, const Config& config, std::size_t most_sockets)
+    : io_(io),
+      connect_timeout_(config.connect_timeout),
+      keep_idle_(config.idle_close * kKeepIdle),
+      most_sockets_(most_sockets),
+      sweep_(io) {
+  close_old();
+}
+
+Upstream::~Upstream() = default;
+
+Upstream::Server* Upstream::find(const std::string& name) {
+  const auto it = servers_.find(name);
+  return it == servers_.end() ? nullptr : &it->second;
+}
+
+Upstream::Handle Upstream::start(const std::string& server, std::shared_ptr<const Forward> request,
+                                 double timeout, Done done) {
+  Server* known = find(server);
+  if (known == nullptr || timeout <= 0) {
+    done({Outcome::kNotSent, {}, {}});
+    return {};
+  }
+  const std::uint64_t serial = ++serial_;
+  if (const std::shared_ptr<Connection> old = reuse(*known)) {
+    old->begin(serial, std::move(request), timeout, std::move(done));
+    old->start_writing();
+    return {old, serial};
+  }
+  if (!make_room()) {
+    done({Outcome::kNotSent, {}, {}});
+    return {};
+  }
+  const auto fresh = std::make_shared<Connection>(*this, server);
+  fresh->begin(serial, std::move(request), timeout, std::move(done));
+  known->connecting.insert(fresh);
+  fresh->connect(known->dial);
+  return {fresh, serial};
+}
+
+void Upstream::stop(const Handle& attempt, Outcome outcome) {
+  if (const auto connection = attempt.connection.lock()) connection->stop(attempt.serial, outcome);
+}
+
+// The most recently used, so that the others can idle out. Guards against writing on a connection that the
+// server has closed or is about to close: what may not be repeated would be lost.
+std::shared_ptr<Upstream::Connection> Upstream::reuse(Server& server) {
+  while (!server.parked.empty()) {
+    const std::shared_ptr<Connection> last = server.parked.back();
+    server.parked.pop_back();
+    parked_.erase(last->place);
+    if (now() - last->parked_at < keep_idle_ && !last->stale()) return last;
+    last->close();
+  }
+  return nullptr;
+}
+
+// Guards the limit on sockets: the longest idle connection makes room for one that is needed.
+bool Upstream::make_room() {
+  if (open_ < most_sockets_) return true;
+  if (parked_.empty()) return false;
+  const std::shared_ptr<Connection> oldest = parked_.front();
+  unpark(oldest);
+  oldest->close();
+  return true;
+}
+
+void Upstream::park(const std::shared_ptr<Connection>& connection) {
+  Server* known = find(connection->server);
+  if (known == nullptr) return connection->close();
+  connection->state = Connection::State::kParked;
+  connection->parked_at = now();
+  connection->place = parked_.insert(parked_.end(), connection);
+  known->parked.push_back(connection);
+  connection->stay_readable();
+}
+
+void Upstream::unpark(const std::shared_ptr<Connection>& connection) {
+  parked_.erase(connection->place);
+  if (Server* known = find(connection->server)) std::erase(known->parked, connection);
+}
+
+void Upstream::close_parked(Server& server) {
+  for (const std::shared_ptr<Connection>& connection : std::exchange(server.parked, {})) {
+    parked_.erase(connection->place);
+    connection->close();
+  }
+}
+
+void Upstream::close_old() {
+  while (!parked_.empty() && now() - parked_.front()->parked_at >= keep_idle_) {
+    const std::shared_ptr<Connection> oldest = parked_.front();
+    unpark(oldest);
+    oldest->close();
+  }
+  sweep_.expires_after(kSweepPeriod);
+  sweep_.async_wait([this](const error_code& error) {
+    if (!error) close_old();
+  });
+}
+
+std::vector<Upstream::Handle> Upstream::apply(const ServerList& list) {
+  std::vector<std::string> gone;
+  if (list.whole) {
+    std::unordered_set<std::string> named;
+    for (const ListedServer& told : list.servers) named.insert(told.facts.address);
+    for (const auto& [name, server] : servers_) {
+      if (!named.contains(name)) gone.push_back(name);
+    }
+  }
+  for (const ListedServer& told : list.servers) {
+    if (told.facts.state != quinceusher::ServerState::kReady) {
+      gone.push_back(told.facts.address);
+      continue;
+    }
+    Server& server = servers_[told.facts.address];
+    // Another process, or the same at another address: what is parked leads nowhere.
+    if (server.dial != told.dial || server.started != told.facts.started) close_parked(server);
+    server.dial = told.dial;
+    server.started = told.facts.started;
+  }
+  // Guards the drains: a send that still waits for its connection must not be written later.
+  std::vector<Handle> stopped;
+  for (const std::string& name : gone) {
+    const auto it = servers_.find(name);
+    if (it == servers_.end()) continue;
+    for (const std::shared_ptr<Connection>& waiting : it->second.connecting) {
+      stopped.push_back(waiting->handle());
+    }
+    close_parked(it->second);
+    servers_.erase(it);
+  }
+  return stopped;
+}
+
+}  // namespace nettlestand
--- /dev/null
+++ b/node/upstream.h
@@ -0,0 +1,83 @@
+// Attempts at servers: a keep-alive pool for each server, and the outcome of each attempt.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "node/config.h"
+#include "quinceusher/balancer.h"
+
+namespace nettlestand {
+
+// A request as it goes on to a server.
+struct Forward {
+  std::string head;  // request line and headers, but for Request-Timeout-Ms and the empty line
+  std::string body;
+};
+
+struct AttemptEnd {
+  quinceusher::Outcome outcome = quinceusher::Outcome::kUnknown;
+  std::string body, content_type;  // of a delivered answer
+};
+
+class Upstream {
+ public:
+  using Done = std::function<void(AttemptEnd&&)>;
+  class Connection;
+  struct Handle {
+    std::weak_ptr<Connection> connection;
+    std::uint64_t serial = 0;
+  };
+
+  Upstream(boost::asio::io_context& io, const Config& config, std::size_t most_sockets);
+  ~Upstream();
+
+  // Starts an attempt. `done` is called exactly once, perhaps before this returns.
+  Handle start(const std::string& server, std::shared_ptr<const Forward> request, double timeout, Done done);
+
+  // Stops waiting for an attempt; it ends so unless it has ended.
+  void stop(const Handle& attempt, quinceusher::Outcome outcome);
+
+  // Takes over a list, or the changes in it. Servers that drain or are gone get nothing more: returns the
+  // attempts that still wait for a connection to one, to be stopped as not sent.
+  std::vector<Handle> apply(const ServerList& list);
+
+  std::size_t servers() const { return servers_.size(); }  // that may be sent to
+
+ private:
+  struct Server {
+    boost::asio::ip::tcp::endpoint dial;
+    double started = 0;
+    std::deque<std::shared_ptr<Connection>> parked;  // the most recently used at the back
+    std::unordered_set<std::shared_ptr<Connection>> connecting;
+  };
+
+  Server* find(const std::string& name);
+  std::shared_ptr<Connection> reuse(Server& server);
+  bool make_room();
+  void park(const std::shared_ptr<Connection>& connection);
+  void unpark(const std::shared_ptr<Connection>& connection);
+  void close_parked(Server& server);
+  void close_old();
+
+  boost::asio::io_context& io_;
+  const double connect_timeout_, keep_idle_;
+  const std::size_t most_sockets_;
+  std::size_t open_ = 0;
+  std::uint64_t serial_ = 0;
+  std::unordered_map<std::string, Server> servers_;
+  std::list<std::shared_ptr<Connection>> parked_;  // all of them, the longest idle first
+  boost::asio::steady_timer sweep_;
+};
+
+}  // namespace nettlestand
