Tell bad settings from other troubles at the start, and end a drain by the longest deadline

Seen in review: settings that the module rejects ended with exit code 1 and not 2; the end of a drain was fixed at 3.55 s though SIGKILL may come sooner where classes give up sooner; refusals that the node words itself had no Retry-After. Checked: a test for the exit code, which failed before; the other two by reading.

--- a/node/engine.cpp
+++ b/node/engine.cpp
@@ -111,11 +111,13 @@
   if (live == nullptr || !live->reply) return;
   const bool may_have_run = std::any_of(live->tries.begin(), live->tries.end(),
                                         [](const Try& attempt) { return attempt.may_have_run; });
-  answer(*live, {may_have_run ? 504U : 503U, 0, {}, {}});
+  answer(*live, may_have_run ? Answer{504, 0, {}, {}} : refusal());
   post(qu::RequestGone{id});
   forget_if_done(id);
 }
 
+Answer Engine::refusal() const { return {503, config_.settings.max_retry_after / 2, {}, {}}; }
+
 void Engine::expire_all() {
   std::vector<std::string> ids;
   for (const auto& [id, live] : live_) ids.push_back(id);
--- a/node/engine.h
+++ b/node/engine.h
@@ -50,6 +50,9 @@
   // Answers everything that is open, as for a deadline that has come.
   void expire_all();
 
+  // For what the node itself has to turn away, unsent.
+  Answer refusal() const;
+
   void list_came(const ServerList& list);
   void watch_failed();
 
--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -245,7 +245,7 @@
     } catch (const BadRequest& bad) {
       return answer({bad.status, 0, std::string(bad.what) + "\n", "text/plain"}, false);
     }
-    if (listener_.crowded()) return answer({503, 0, {}, {}}, true);
+    if (listener_.crowded()) return answer(listener_.engine_.refusal(), true);
     enter(State::kWaiting);
     request_ = 0;
     wait_readable();
@@ -376,6 +376,7 @@
     if (error) return accept_later();
     for (int i = 0; i < 64; ++i) {
       if (count_ >= most_ && (idle_.empty() || !idle_.front()->close_if_idle())) {
+        if (!full_) log_line("no room for further connections of callers");
         full_ = true;
         return accept_later();
       }
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -1,4 +1,5 @@
 // nettlestand: one node of the load balancer. See README.md for its configuration.
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -26,10 +27,12 @@
 constexpr std::size_t kOtherSockets = 40;  // the event loop's, standard ones, discovery, and headroom
 constexpr int kBadConfig = 2, kCannotStart = 1;
 
-// After SIGTERM, new connections still come for up to 0.4 s, and SIGKILL no sooner than 3.7 s after it.
-constexpr double kAcceptOn = 0.6;      // s
-constexpr double kLastAnswers = 3.45;  // s; what is open then is answered as for its deadline
-constexpr double kExit = 3.55;         // s
+// After SIGTERM, new connections still come for up to 0.4 s, and SIGKILL no sooner than the longest deadline
+// (3 s at most) and 0.7 s after it.
+constexpr double kAcceptOn = 0.55;      // s
+constexpr double kLongestDeadline = 3;  // s
+constexpr double kLastAnswers = 0.45;   // s over the longest deadline; what is open then is answered
+constexpr double kExit = 0.1;           // s after that, for answers to be written
 constexpr auto kDrainLook = std::chrono::milliseconds(20);
 
 ns::Config load() {
@@ -41,11 +44,18 @@
   return ns::read_config(text);
 }
 
+double longest_deadline(const quinceusher::Settings& settings) {
+  double longest = 0;
+  for (const quinceusher::RequestClass& c : settings.classes) longest = std::max(longest, c.give_up);
+  return std::min(longest, kLongestDeadline);
+}
+
 class Node {
  public:
   explicit Node(const ns::Config& config)
       : io_(1),
         sockets_(config.sockets - kOtherSockets),
+        last_answers_(longest_deadline(config.settings) + kLastAnswers),
         discovery_(io_, config,
                    {[this](const ns::ServerList& list) { engine_.list_came(list); },
                     [this] { engine_.watch_failed(); }}),
@@ -85,8 +95,9 @@
       accepting_ = false;
       listener_.drain();  // what was accepted late and has sent nothing
     }
-    if (since >= kLastAnswers) engine_.expire_all();
-    if ((!accepting_ && since >= kAcceptOn + 0.1 && listener_.connections() == 0) || since >= kExit) {
+    if (since >= last_answers_) engine_.expire_all();
+    if ((!accepting_ && since >= kAcceptOn + 0.1 && listener_.connections() == 0) ||
+        since >= last_answers_ + kExit) {
       ns::log_line("drained");
       return io_.stop();
     }
@@ -98,6 +109,7 @@
 
   asio::io_context io_;
   const std::size_t sockets_;
+  const double last_answers_;
   ns::Discovery discovery_;
   ns::Engine engine_;
   ns::Listener listener_;
@@ -117,7 +129,10 @@
     failure = kCannotStart;
     Node node(config);
     node.run();
-    std::_Exit(0);  // what is still open ends with the process
+    std::_Exit(0);                                  // what is still open ends with the process
+  } catch (const std::invalid_argument& problem) {  // settings that the module can't use
+    failure = kBadConfig;
+    std::fprintf(stderr, "nettlestand: %s\n", problem.what());
   } catch (const std::exception& problem) {
     std::fprintf(stderr, "nettlestand: %s\n", problem.what());
   }
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -459,7 +459,9 @@
   const std::string good = w.config();
   std::string bad_seed = good;
   bad_seed.replace(bad_seed.find("8c1f"), 4, "xyz!");
-  for (const std::string& config : {std::string(), std::string("{"), bad_seed}) {
+  std::string bad_settings = good;
+  bad_settings.replace(bad_settings.find("\"peersTotal\":1"), 14, "\"peersTotal\":0");
+  for (const std::string& config : {std::string(), std::string("{"), bad_seed, bad_settings}) {
     Program node(config);
     EXPECT_EQ(node.exit_code(), 2);
     const std::string& log = node.log("");
