Keep idle connections for nine tenths of the servers' idle time

A handshake costs 23 times what one connection costs in a second, so a connection may idle longer; half a second is left before the server's own limit of 5 s.

--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -22,7 +22,7 @@
 
 constexpr std::size_t kBodyLimit = 64 * 1024;  // bytes, as the protocol has it
 constexpr std::size_t kReadSize = 16 * 1024;   // bytes
-constexpr double kKeepIdle = 0.8;              // of the servers' idle time; what is older is closed, not used
+constexpr double kKeepIdle = 0.9;              // of the servers' idle time; what is older is closed, not used
 constexpr auto kSweepPeriod = std::chrono::milliseconds(250);
 
 std::chrono::nanoseconds duration(double seconds) {
