--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -23,7 +23,6 @@
 constexpr std::size_t kBodyLimit = 64 * 1024;  // bytes, as the protocol has it
 constexpr std::size_t kReadSize = 16 * 1024;   // bytes
 constexpr double kKeepIdle = 0.9;              // of the servers' idle time; what is older is closed, not used
-constexpr auto kSweepPeriod = std::chrono::milliseconds(250);
 
 std::chrono::nanoseconds duration(double seconds) {
   return std::chrono::nanoseconds(static_cast<std::int64_t>(std::max(0.0, seconds) * 1e9));
@@ -334,7 +333,7 @@
     unpark(oldest);
     oldest->close();
   }
-  sweep_.expires_after(kSweepPeriod);
+  sweep_.expires_after(duration(keep_idle_ - (parked_.empty() ? 0 : now() - parked_.front()->parked_at)));
   sweep_.async_wait([this](const error_code& error) {
     if (!error) close_old();
   });
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -61,7 +61,8 @@
         << R"("bounds":{"cancel":true,"maxAttempts":4,"retryAfter":true,"maxRetryAfter":2.0,"dialTimeout":)"
         << connect_timeout << R"(,"idleClose":)" << idle_close << "},"
         << R"("realms":[{"name":"acme","allowancePerS":1000}],"rules":{"askWithin":0.4},"categories":[)"
-        << R"({"name":"mark","aim":2,"giveUp":5,"lateWorth":0.5,"effect":"keyed","group":"cell","dedupWindow":4},)"
+        << R"({"name":"mark","aim":2,"giveUp":5,"lateWorth":0.5,"effect":"keyed",)"
+        << R"("group":"cell","dedupWindow":4},)"
         << R"({"name":"close","aim":2,"giveUp":5,"lateWorth":0.5,"effect":"unsafe"}]}})";
     return out.str();
   }
