--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -28,6 +28,14 @@
   return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
 }
 
+// For what only shows when it is asked about.
+template <class Condition>
+void until(Condition holds) {
+  for (const double from = seconds(); !holds();) {
+    if (seconds() - from > kPatience / 1000.0) throw std::runtime_error("it did not come about");
+  }
+}
+
 inline bool readable(int fd, int wait_ms) {
   pollfd p{fd, POLLIN, 0};
   return poll(&p, 1, wait_ms) > 0;
