Test that a draining node still accepts when it has long been told

Seen: with the time to accept on after SIGTERM taken out, the drain test still passed, since its late connection came before the listener closed. A second one now comes after an answer of the drained node; without the guard the test fails, with it it passes. No change to the node.

--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -432,6 +432,9 @@
   second.message();
   second.send(ok());
   EXPECT_TRUE(has(late.message(), "Connection: close\r\n"));
+  Wire later = w.client();  // the node has long been told: it still accepts
+  later.send("GET /healthz HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(has(later.message(), "HTTP/1.1 503 "));
   server.send(ok());
   EXPECT_TRUE(has(busy.message(), "Connection: close\r\n"));
   EXPECT_TRUE(busy.ended());
