--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -145,16 +145,9 @@
   enum class State { kIdle, kReading, kWaiting, kWriting, kClosed };
 
   Order* order_of(State state) {
-    switch (state) {
-      case State::kIdle:
-        return &listener_.idle_;
-      case State::kReading:
-        return &listener_.busy_reading_;
-      case State::kWriting:
-        return &listener_.writing_;
-      default:
-        return nullptr;
-    }
+    if (state == State::kIdle) return &listener_.idle_;
+    if (state == State::kReading) return &listener_.reading_;
+    return state == State::kWriting ? &listener_.writing_ : nullptr;
   }
 
   void enter(State state) {
@@ -363,8 +356,6 @@
   sweep();
 }
 
-Listener::~Listener() = default;
-
 // Guards the limit on descriptors: the longest idle connection makes room; where none is idle, the rest wait
 // in the machine's queue until one ends.
 void Listener::accept() {
@@ -416,7 +407,7 @@
     }
   };
   close_older(idle_, kIdleLimit);
-  close_older(busy_reading_, kReadLimit);
+  close_older(reading_, kReadLimit);
   close_older(writing_, kWriteLimit);
   sweep_.expires_after(kSweepPeriod);
   sweep_.async_wait([this](const error_code& error) {
--- a/node/listener.h
+++ b/node/listener.h
@@ -21,7 +21,6 @@
 
   // Throws boost::system::system_error when the address can't be listened on.
   Listener(boost::asio::io_context& io, const Config& config, Engine& engine, std::size_t most_connections);
-  ~Listener();
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
@@ -47,7 +46,7 @@
   const std::size_t most_;
   std::size_t count_ = 0;
   bool draining_ = false, accepting_ = false, full_ = false;
-  Order idle_, busy_reading_, writing_;  // each in the order in which they became so
+  Order idle_, reading_, writing_;  // each in the order in which they became so
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer retry_, sweep_;
 };
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -247,8 +247,6 @@
   close_old();
 }
 
-Upstream::~Upstream() = default;
-
 Upstream::Server* Upstream::find(const std::string& name) {
   const auto it = servers_.find(name);
   return it == servers_.end() ? nullptr : &it->second;
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -40,7 +40,6 @@
   };
 
   Upstream(boost::asio::io_context& io, const Config& config, std::size_t most_sockets);
-  ~Upstream();
 
   // Starts an attempt. `done` is called exactly once, perhaps before this returns.
   Handle start(const std::string& server, std::shared_ptr<const Forward> request, double timeout, Done done);
