--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -491,6 +491,42 @@
   EXPECT_TRUE(has(caller.message(), " 200 "));
 }
 
+TEST(Node, IdleConnectionsToOneServerMakeRoomForAnother) {
+  World w;
+  w.sockets = 64;  // ten of them for servers
+  w.serve(host("s0", w.servers[0].port()));
+  std::vector<Wire> callers, taken;
+  for (int i = 0; i < 10; ++i) {
+    callers.push_back(w.client());
+    callers.back().send(request("close"));
+    taken.push_back(w.servers[0].accept());
+    taken.back().message();
+  }
+  for (std::size_t i = 0; i < 10; ++i) {
+    taken[i].send(ok());
+    EXPECT_TRUE(has(callers[i].message(), " 200 "));
+  }
+  w.tell(list(8, false, host("s1", w.servers[1].port())));
+  for (int i = 0; i < 60 && w.servers[1].quiet(); ++i) {
+    callers[0].send(request("close"));
+    until([&] {
+      for (Wire& server : taken) {
+        if (server.quiet() || server.message().empty()) continue;
+        server.send(ok());
+        return true;
+      }
+      return !w.servers[1].quiet();
+    });
+    if (w.servers[1].quiet()) {
+      EXPECT_TRUE(has(callers[0].message(), " 200 "));
+    }
+  }
+  Wire server = w.servers[1].accept();
+  server.message();
+  server.send(ok());
+  EXPECT_TRUE(has(callers[0].message(), " 200 "));
+}
+
 TEST(Node, SurvivesRunningOutOfDescriptors) {
   World w;
   w.node = std::make_unique<Program>(w.config(), 24);
