--- a/node/discovery.cpp
+++ b/node/discovery.cpp
@@ -18,8 +18,9 @@
 using boost::system::error_code;
 
 constexpr auto kConnectLimit = std::chrono::seconds(2);
+constexpr auto kAnswerLimit = std::chrono::seconds(3);    // calls wait 2 s in discovery's queue at most
 constexpr auto kSilenceLimit = std::chrono::seconds(6);   // three periods of its empty lines
-constexpr std::size_t kLongestLine = 8 * 1024 * 1024;     // bytes
+constexpr std::size_t kLongestLine = 1024 * 1024;         // bytes; some thousand servers
 constexpr double kFirstBackoff = 0.25, kMostBackoff = 5;  // s
 
 }  // namespace
@@ -36,10 +37,10 @@
     request_.target("/v1/servers?stream=1" +
                     (owner_.seq_ ? "&index=" + std::to_string(*owner_.seq_) : std::string()));
     request_.version(11);
-    request_.set(http::field::host, owner_.config_.discovery.address().to_string() + ":" +
-                                        std::to_string(owner_.config_.discovery.port()));
+    request_.set(http::field::host,
+                 owner_.address_.address().to_string() + ":" + std::to_string(owner_.address_.port()));
     stream_.expires_after(kConnectLimit);
-    stream_.async_connect(owner_.config_.discovery, [self = shared_from_this()](const error_code& error) {
+    stream_.async_connect(owner_.address_, [self = shared_from_this()](const error_code& error) {
       if (error) return self->fail("connect: " + error.message());
       self->ask();
     });
@@ -52,7 +53,7 @@
 
  private:
   void ask() {
-    stream_.expires_after(kSilenceLimit);
+    stream_.expires_after(kAnswerLimit);
     http::async_write(stream_, request_, [self = shared_from_this()](const error_code& error, std::size_t) {
       if (error) return self->fail("write: " + error.message());
       self->await_answer();
@@ -96,7 +97,7 @@
         owner_.seq_.reset();  // the whole list next time, or the same line would come for ever
         return fail(std::string("watch: ") + problem.what());
       }
-      owner_.came(std::move(list));
+      owner_.came(this, std::move(list));
     }
     if (closed_) return;
     lines_.erase(0, from);
@@ -124,6 +125,7 @@
     : io_(io),
       config_(config),
       listeners_(std::move(listeners)),
+      address_(config.discovery),
       random_(static_cast<std::minstd_rand::result_type>(config.seed)),
       again_(io) {
   if (config.known) seq_ = config.known->seq;
@@ -132,33 +134,64 @@
 Discovery::~Discovery() = default;
 
 void Discovery::watch() {
-  if (current_) return;
+  if (current_ || moving_) return;
   current_ = std::make_shared<Watch>(*this);
   current_->start();
 }
 
-void Discovery::came(ServerList&& list) {
+// Guards the drains and the list over a move: the new address is asked at once and for the whole list, since
+// its versions need not be those of the old one, and nothing is given up before it has spoken.
+void Discovery::move(const boost::asio::ip::tcp::endpoint& address) {
+  if (address == address_) return;
+  log_line("discovery: moves to " + address.address().to_string() + ":" + std::to_string(address.port()));
+  address_ = address;
+  seq_.reset();
+  moving_ = true;
+  backoff_ = 0;
+  again_.cancel();
+  if (next_) next_->close();
+  reach();
+}
+
+void Discovery::reach() {
+  next_ = std::make_shared<Watch>(*this);
+  next_->start();
+}
+
+// Jittered: all nodes lose it at once and must not come back at once.
+void Discovery::retry(std::function<void()> what) {
+  backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kMostBackoff);
+  again_.expires_after(std::chrono::milliseconds(
+      static_cast<int>(1000 * backoff_ * std::uniform_real_distribution<>(0.5, 1.0)(random_))));
+  again_.async_wait([what = std::move(what)](const error_code& error) {
+    if (!error) what();
+  });
+}
+
+void Discovery::came(Watch* which, ServerList&& list) {
+  if (which == next_.get()) {
+    if (current_) current_->close();  // what an abandoned watch says later is old
+    current_ = std::exchange(next_, nullptr);
+    moving_ = false;
+  }
   if (!well_) log_line("discovery: heard again");
   well_ = true;
   backoff_ = 0;
-  seq_ = list.seq;
+  if (!moving_) seq_ = list.seq;
   listeners_.list(list);
 }
 
 void Discovery::failed(const Watch* which, const std::string& why) {
-  if (current_.get() != which) return;
-  current_.reset();
+  if (which != current_.get() && which != next_.get()) return;
   if (well_) log_line("discovery: " + why + "; the last list is kept");
   well_ = false;
-  if (!config_.settings.must_watch) {
-    // Jittered: all nodes lose it at once and must not come back at once.
-    backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kMostBackoff);
-    again_.expires_after(std::chrono::milliseconds(
-        static_cast<int>(1000 * backoff_ * std::uniform_real_distribution<>(0.5, 1.0)(random_))));
-    again_.async_wait([this](const error_code& error) {
-      if (!error) watch();
-    });
+  if (which == next_.get()) {  // the module has not asked for this one: it is asked for again here
+    next_.reset();
+    return retry([this] { reach(); });
   }
+  current_.reset();
+  if (moving_) return;
+  if (!config_.settings.must_watch) retry([this] { watch(); });
   listeners_.failed();
 }
 
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -62,6 +62,7 @@
         engine_(io_, config, sockets_ * 9 / 20, [this] { discovery_.watch(); }),
         listener_(io_, config, engine_, sockets_ * 11 / 20),
         signals_(io_, SIGTERM, SIGINT),
+        reload_(io_, SIGHUP),
         look_(io_) {}
 
   void run() {
@@ -71,6 +72,7 @@
     signals_.async_wait([this](const boost::system::error_code& error, int) {
       if (!error) drain();
     });
+    await_reload();
     while (!io_.stopped()) {
       try {
         io_.run();
@@ -81,6 +83,20 @@
   }
 
  private:
+  // Guards the running node against its next configuration: what can't be read or used changes nothing. Only
+  // discovery's address is taken over; the rest holds until the next start.
+  void await_reload() {
+    reload_.async_wait([this](const boost::system::error_code& error, int) {
+      if (error) return;
+      await_reload();
+      try {
+        discovery_.move(load().discovery);
+      } catch (const std::exception& problem) {
+        ns::log_line(std::string("the configuration stays as it was: ") + problem.what());
+      }
+    });
+  }
+
   void drain() {
     ns::log_line("draining");
     drain_began_ = ns::now();
@@ -113,7 +129,7 @@
   ns::Discovery discovery_;
   ns::Engine engine_;
   ns::Listener listener_;
-  asio::signal_set signals_;
+  asio::signal_set signals_, reload_;
   asio::steady_timer look_;
   double drain_began_ = 0;
   bool accepting_ = true;
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -66,6 +66,12 @@
     return out;
   }
 
+  int local_port() const {
+    sockaddr_in at{};
+    socklen_t size = sizeof at;
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
+    return ntohs(at.sin_port);
+  }
   void send(const std::string& text) const { ::send(fd_, text.data(), text.size(), MSG_NOSIGNAL); }
   void close() {
     if (fd_ >= 0) ::close(fd_);
@@ -198,6 +204,15 @@
     return std::stoi(text_.substr(at + kWords.size()));
   }
   void signal(int which) const { kill(child_, which); }
+  // Replaces the configuration and has it read.
+  void reload(const std::string& config) const {
+    std::ofstream(path_) << config;
+    signal(SIGHUP);
+  }
+  void reload_without_file() const {
+    std::remove(path_.c_str());
+    signal(SIGHUP);
+  }
   int exit_code() {
     log("no such words: until it ends");
     int status = 0;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -415,6 +415,101 @@
   EXPECT_TRUE(has(w.take_watch(), "stream=1&index=7 "));
 }
 
+// The configuration with discovery at another address.
+std::string moved(const World& w, const Peer& discovery) {
+  std::string out = w.config();
+  const std::string old = "\"discovery\":\"127.0.0.1:" + std::to_string(w.discovery.port());
+  return out.replace(out.find(old), old.size(),
+                     "\"discovery\":\"127.0.0.1:" + std::to_string(discovery.port()));
+}
+
+TEST(Node, MovesItsWatchOnSighup) {
+  World w;
+  w.serve(host("s0", w.servers[0].port()));
+  for (int round = 0; round < 2; ++round) {
+    const Peer elsewhere;
+    w.node->reload(moved(w, elsewhere));
+    Wire next = elsewhere.accept();
+    EXPECT_TRUE(has(next.message(), "GET /v1/servers?stream=1 HTTP/1.1\r\n")) << "the whole list";
+    EXPECT_TRUE(w.watch.quiet()) << "the old watch stays until the new one has spoken";
+    w.tell(list(8, true, host("s1", w.servers[1].port())));
+    Wire caller = w.client();
+    const auto serves = [&](const Peer& peer) {
+      until([&] {
+        caller.send(request("close"));
+        Wire server = w.next();
+        server.message();
+        server.send(with_length("HTTP/1.1 200 OK\r\nConnection: close\r\n", "answer"));
+        caller.message();
+        return server.local_port() == peer.port();
+      });
+    };
+    serves(w.servers[1]);  // what the old watch says still counts
+    next.send(kWatchHead);
+    EXPECT_TRUE(w.watch.quiet());
+    next.send(chunk(list(3, true, host("s0", w.servers[0].port()))));
+    EXPECT_TRUE(w.watch.ended());
+    serves(w.servers[0]);
+    w.watch = std::move(next);
+    next = Wire();
+  }
+}
+
+TEST(Node, AsksTheNewDiscoveryAgainUntilItSpeaks) {
+  World w;
+  w.serve(host("s0", w.servers[0].port()));
+  const Peer elsewhere;
+  w.node->reload(moved(w, elsewhere));
+  elsewhere.accept().send(with_length("HTTP/1.1 503 Busy\r\n", ""));
+  Wire second = elsewhere.accept();
+  w.watch.close();  // and the old one has gone by then
+  second.reset();
+  EXPECT_TRUE(has(elsewhere.accept().message(), "GET /v1/servers?stream=1 HTTP/1.1\r\n"));
+  EXPECT_TRUE(has(w.health(), " 200 ")) << "with the last list";
+}
+
+TEST(Node, MovesItsWatchInAnOutageAndInADrain) {
+  World w;
+  w.serve(host("s0", w.servers[0].port()));
+  w.discovery.close();
+  w.watch.close();
+  w.node->log("the last list is kept");
+  const Peer second, third;
+  w.node->reload(moved(w, second));
+  Wire watch = second.accept();
+  EXPECT_TRUE(has(watch.message(), "GET /v1/servers?stream=1 HTTP/1.1\r\n"));
+  watch.send(kWatchHead);
+  watch.send(chunk(list(1, true, host("s0", w.servers[0].port()))));
+  Wire caller = w.client();
+  caller.send(request("close"));
+  Wire server = w.servers[0].accept();
+  server.message();
+  w.node->signal(SIGTERM);
+  w.node->log("draining");
+  w.node->reload(moved(w, third));
+  EXPECT_TRUE(has(third.accept().message(), "GET /v1/servers?stream=1 HTTP/1.1\r\n"));
+  server.send(ok());
+  EXPECT_TRUE(has(caller.message(), " 200 "));
+  EXPECT_EQ(w.node->exit_code(), 0);
+}
+
+TEST(Node, KeepsItsConfigurationWhereTheNextCantBeUsed) {
+  World w;
+  w.serve(host("s0", w.servers[0].port()));
+  const Peer elsewhere;
+  const std::string good = moved(w, elsewhere);
+  w.node->reload_without_file();
+  EXPECT_TRUE(has(w.node->log("stays as it was: can't read"), "stays as it was: can't read"));
+  w.node->reload(good.substr(0, good.size() / 2));
+  EXPECT_TRUE(has(w.node->log("stays as it was: not valid"), "stays as it was: not valid"));
+  w.node->reload(R"({"discovery":"nowhere"})");
+  EXPECT_TRUE(has(w.node->log("stays as it was: field"), "stays as it was: field"));
+  EXPECT_TRUE(w.watch.quiet());
+  EXPECT_TRUE(elsewhere.quiet());
+  w.node->reload(good);
+  EXPECT_TRUE(has(elsewhere.accept().message(), "GET /v1/servers?stream=1 HTTP/1.1\r\n"));
+}
+
 TEST(Node, DrainsOnSigterm) {
   World w;
   w.serve(host("s0", w.servers[0].port()));
