--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -290,7 +290,7 @@
   }
 
   void answer(Answer&& final, bool close) {
-    close_after_ = close || !keep_alive_ || listener_.draining_;
+    close_after_ = close || !keep_alive_ || listener_.finishing_;
     const std::size_t length = final.body.size();
     out_ = message(final, close_after_);
     if (std::exchange(head_only_, false)) out_.resize(out_.size() - length);
@@ -305,7 +305,7 @@
 
   void answered() {
     out_.clear();
-    if (close_after_ || listener_.draining_) {
+    if (close_after_ || listener_.finishing_) {
       // Guards the answer: closing over unread bytes resets the connection and may take the answer with it.
       error_code ignored;
       socket_.shutdown(tcp::socket::shutdown_send, ignored);
@@ -415,8 +415,8 @@
   });
 }
 
-void Listener::drain() {
-  draining_ = true;
+void Listener::finish() {
+  finishing_ = true;
   const Order idle = idle_;
   for (const std::shared_ptr<Connection>& connection : idle) connection->close_if_idle();
 }
--- a/node/listener.h
+++ b/node/listener.h
@@ -24,8 +24,10 @@
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
+  // Says that the node leaves: /healthz answers 503 from now on. Clients may go on using what they have.
+  void drain() { draining_ = true; }
   // Answers from now on end their connections, and what is idle is closed. New ones are still accepted.
-  void drain();
+  void finish();
   // Accepts what has been connected by now, and nothing after that.
   void stop_accepting();
   std::size_t connections() const { return count_; }
@@ -45,7 +47,7 @@
   std::vector<quinceusher::RequestClass> class_facts_;
   const std::size_t most_;
   std::size_t count_ = 0;
-  bool draining_ = false, accepting_ = false, full_ = false;
+  bool draining_ = false, finishing_ = false, accepting_ = false, full_ = false;
   Order idle_, reading_, writing_;  // each in the order in which they became so
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer retry_, sweep_;
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -31,6 +31,7 @@
 // (3 s at most) and 0.7 s after it.
 constexpr double kAcceptOn = 0.55;      // s
 constexpr double kLongestDeadline = 3;  // s
+constexpr double kServeUntil = 0.3;     // s before the longest deadline; most answers take 0.5 s
 constexpr double kLastAnswers = 0.45;   // s over the longest deadline; what is open then is answered
 constexpr double kExit = 0.1;           // s after that, for answers to be written
 constexpr auto kDrainLook = std::chrono::milliseconds(20);
@@ -109,8 +110,10 @@
     if (since >= kAcceptOn) {
       if (accepting_) listener_.stop_accepting();
       accepting_ = false;
-      listener_.drain();  // what was accepted late and has sent nothing
     }
+    // Guards the clients of a node that restarts alone: where there is no other to go to, closing their
+    // connections at the signal leaves them without service for seconds in which this node can still serve.
+    if (since >= std::max(kAcceptOn, last_answers_ - kLastAnswers - kServeUntil)) listener_.finish();
     if (since >= last_answers_) engine_.expire_all();
     if ((!accepting_ && since >= kAcceptOn + 0.1 && listener_.connections() == 0) ||
         since >= last_answers_ + kExit) {
