--- a/node/config.cpp
+++ b/node/config.cpp
@@ -120,6 +120,9 @@
     const int sockets = json::whole_or(*limits, "sockets", 1024);
     if (sockets < 64) json::wrong("sockets", "64 or more");
     out.sockets = static_cast<std::size_t>(sockets);
+    const double memory = json::number_or(*limits, "memory_mb", 64);
+    if (!(memory >= 16 && memory < 1e6)) json::wrong("memory_mb", "16 or more");
+    out.memory_mb = static_cast<std::size_t>(memory);
   }
   const Json& settings = json::need(in, "settings");
   out.settings = json::read_settings(settings);
--- a/node/config.h
+++ b/node/config.h
@@ -34,7 +34,7 @@
   std::string name;
   boost::asio::ip::tcp::endpoint listen, discovery;
   std::uint64_t seed = 0;
-  std::size_t sockets = 1024;
+  std::size_t sockets = 1024, memory_mb = 64;
   quinceusher::Settings settings;
   std::vector<std::string> classes, tenants, zones;  // their names, in the order of the settings
   double connect_timeout = 0.25;                     // s
--- a/node/engine.cpp
+++ b/node/engine.cpp
@@ -37,11 +37,11 @@
 
 void log_line(const std::string& text) { std::fprintf(stderr, "%.3f %s\n", now(), text.c_str()); }
 
-Engine::Engine(boost::asio::io_context& io, const Config& config, std::size_t most_upstream_sockets,
-               std::function<void()> watch)
+Engine::Engine(boost::asio::io_context& io, const Config& config, ByteBudget& budget,
+               std::size_t most_upstream_sockets, std::function<void()> watch)
     : io_(io),
       balancer_(config.settings, config.seed),
-      upstream_(io, config, most_upstream_sockets),
+      upstream_(io, config, budget, most_upstream_sockets),
       watch_(std::move(watch)),
       config_(config) {}
 
@@ -84,6 +84,7 @@
   const double limit = call.came_at + call.timeout;
   call.facts.id = id;
   call.facts.time_left = limit - reserve(call) - now();
+  client_ids_.insert(call.client_id);
   auto& live = live_[id] = std::make_unique<Live>(io_, std::move(call), std::move(reply));
   ++open_;
   live->deadline.expires_at(at(limit - reserve(live->call) * kAnswerReserve));
@@ -111,12 +112,12 @@
   if (live == nullptr || !live->reply) return;
   const bool may_have_run = std::any_of(live->tries.begin(), live->tries.end(),
                                         [](const Try& attempt) { return attempt.may_have_run; });
-  answer(*live, may_have_run ? Answer{504, 0, {}, {}} : refusal());
+  answer(*live, may_have_run ? Answer{504, 0, {}, {}, {}} : refusal());
   post(qu::RequestGone{id});
   forget_if_done(id);
 }
 
-Answer Engine::refusal() const { return {503, config_.settings.max_retry_after / 2, {}, {}}; }
+Answer Engine::refusal() const { return {503, config_.settings.max_retry_after / 2, {}, {}, {}}; }
 
 void Engine::expire_all() {
   std::vector<std::string> ids;
@@ -158,6 +159,7 @@
   if (it == live_.end() || it->second->reply) return;
   const auto& tries = it->second->tries;
   if (std::none_of(tries.begin(), tries.end(), [](const Try& attempt) { return attempt.open; })) {
+    client_ids_.erase(it->second->call.client_id);
     live_.erase(it);
   }
 }
@@ -179,7 +181,7 @@
   done.open = false;
   done.may_have_run = !never_ran(end.outcome);
   if (end.outcome == qu::Outcome::kDelivered) {
-    answer(*live, {200, 0, std::move(end.body), std::move(end.content_type)});
+    answer(*live, {200, 0, std::move(end.body), std::move(end.content_type), std::move(end.claim)});
   }
   post(qu::AttemptResult{id, attempt, end.outcome, now() - done.sent_at, !live->reply});
 }
@@ -190,7 +192,7 @@
   const int attempt = static_cast<int>(live->tries.size());
   live->tries.push_back({{}, now(), true, true});
   // Guards the one final answer: nothing is sent for a request that has it.
-  if (!live->reply) return ended(action.id, attempt, {qu::Outcome::kNotSent, {}, {}});
+  if (!live->reply) return ended(action.id, attempt, {qu::Outcome::kNotSent, {}, {}, {}});
   Upstream::Handle handle = upstream_.start(
       action.server, live->call.forward, action.timeout,
       [this, id = action.id, attempt](AttemptEnd&& end) { ended(id, attempt, std::move(end)); });
@@ -200,14 +202,14 @@
 void Engine::run(const qu::Refuse& action) {
   Live* live = find(action.id);
   if (live == nullptr) return;
-  answer(*live, {503, action.retry_after, {}, {}});
+  answer(*live, {503, action.retry_after, {}, {}, {}});
   forget_if_done(action.id);
 }
 
 void Engine::run(const qu::Fail& action) {
   Live* live = find(action.id);
   if (live == nullptr) return;
-  answer(*live, {502, 0, {}, {}});
+  answer(*live, {502, 0, {}, {}, {}});
   forget_if_done(action.id);
 }
 
--- a/node/engine.h
+++ b/node/engine.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "node/config.h"
@@ -20,7 +21,8 @@
 // A caller's request, read and found to be sound.
 struct Call {
   quinceusher::Request facts;  // id and time_left are the engine's to fill in
-  std::shared_ptr<const Forward> forward;
+  std::shared_ptr<Forward> forward;
+  std::string client_id;
   double came_at = 0;  // on the steady clock
   double timeout = 0;  // s, from when the client sent it
 };
@@ -30,20 +32,24 @@
   unsigned status = 500;
   double retry_after = 0;  // s; 0: no advice
   std::string body, content_type;
+  Claim claim;  // on the bytes of the body
 };
 
 class Engine {
  public:
   using Reply = std::function<void(Answer&&)>;
 
-  Engine(boost::asio::io_context& io, const Config& config, std::size_t most_upstream_sockets,
-         std::function<void()> watch);
+  Engine(boost::asio::io_context& io, const Config& config, ByteBudget& budget,
+         std::size_t most_upstream_sockets, std::function<void()> watch);
 
   void start();
 
   // Takes a request. `reply` is called exactly once, perhaps before this returns, unless `gone` comes first.
   std::uint64_t submit(Call call, Reply reply);
 
+  // Whether a request with this client's id is open, or has attempts out.
+  bool knows(const std::string& client_id) const { return client_ids_.contains(client_id); }
+
   // The client has gone away: nothing more is owed.
   void gone(std::uint64_t request);
 
@@ -96,6 +102,7 @@
   std::function<void()> watch_;
   const Config& config_;
   std::unordered_map<std::string, std::unique_ptr<Live>> live_;
+  std::unordered_set<std::string> client_ids_;  // of all that is in live_
   std::deque<quinceusher::Event> events_;
   bool running_ = false;
   std::uint64_t last_id_ = 0;
--- /dev/null
+++ b/node/intake.cpp
@@ -0,0 +1,139 @@
+#include "node/intake.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <charconv>
+#include <memory>
+#include <utility>
+
+namespace nettlestand {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr double kLongestTimeout = 600;       // s
+constexpr std::size_t kLongestName = 128;     // bytes of an id or a key
+constexpr std::size_t kLongestTarget = 2048;  // bytes
+
+// The headers with a meaning here, one of each at most; they go on to the server, but for the time.
+constexpr std::array kOwn = {"Request-Id",      "Request-Class", "Tenant",    "Request-Timeout-Ms",
+                             "Idempotency-Key", "Client-Retry",  "Work-Hint", "Request-Info"};
+// The others that go on. Whatever else came says nothing to a server, or belongs to the one connection.
+constexpr std::array kPassedOn = {"Host", "Cookie", "Content-Type"};
+
+std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
+
+std::optional<std::uint64_t> whole(std::string_view text) {
+  std::uint64_t out = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
+  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return out;
+}
+
+std::shared_ptr<Forward> forward(const Intake::Head& head) {
+  auto out = std::make_shared<Forward>();
+  out->head.append(view(head.method_string()))
+      .append(" ")
+      .append(view(head.target()))
+      .append(" HTTP/1.1\r\n");
+  const auto pass_on = [&](const char* name) {
+    for (auto [it, end] = head.equal_range(name); it != end; ++it) {
+      out->head.append(name).append(": ").append(view(it->value())).append("\r\n");
+    }
+  };
+  for (const char* name : kPassedOn) pass_on(name);
+  for (const char* name : kOwn) {
+    if (std::string_view(name) != "Request-Timeout-Ms") pass_on(name);
+  }
+  return out;
+}
+
+}  // namespace
+
+bool folded(std::string_view bytes) {
+  const std::string_view head = bytes.substr(0, bytes.find("\r\n\r\n"));
+  return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+}
+
+std::string_view Intake::path_of(const Head& head) {
+  const std::string_view target = view(head.target());
+  return target.substr(0, target.find('?'));
+}
+
+Intake::Intake(const Config& config) : class_facts_(config.settings.classes) {
+  for (const std::string& name : config.classes) classes_.emplace(name, classes_.size());
+  for (const std::string& name : config.tenants) tenants_.emplace(name, tenants_.size());
+}
+
+// Guards against a second request hidden in a body. Beast 1.74 turns away a length beside "chunked", but
+// takes a length after any other encoding, a list of encodings that ends in "chunked", and the same length
+// twice.
+void Intake::check_framing(const Head& head) {
+  const std::size_t lengths = head.count(http::field::content_length);
+  const std::size_t encodings = head.count(http::field::transfer_encoding);
+  if (lengths + encodings > 1) throw BadRequest{400, "more than one length"};
+  if (lengths == 1) {
+    const std::string_view length = view(head[http::field::content_length]);
+    if (length.empty() || length.size() > 18 || !whole(length)) throw BadRequest{400, "bad Content-Length"};
+  }
+  if (encodings == 1 && !boost::beast::iequals(head[http::field::transfer_encoding], "chunked")) {
+    throw BadRequest{400, "unknown Transfer-Encoding"};
+  }
+}
+
+Call Intake::read(const Head& head) const {
+  const auto named = [&](const char* field, const auto& known) {
+    const auto it = known.find(std::string(view(head[field])));
+    return it == known.end() ? std::nullopt : std::optional<std::size_t>(it->second);
+  };
+  for (const char* name : kOwn) {
+    // Guards against a header that this node reads in one way and a server in another.
+    if (head.count(name) > 1) throw BadRequest{400, "a header twice"};
+    if (head[name].size() > kLongestName && std::string_view(name) != "Request-Info") {
+      throw BadRequest{400, "a header too long"};
+    }
+  }
+  if (head.target().size() > kLongestTarget) throw BadRequest{414, "target too long"};
+  Call out;
+  out.client_id = std::string(view(head["Request-Id"]));
+  if (out.client_id.empty()) throw BadRequest{400, "no Request-Id"};
+  const auto request_class = named("Request-Class", classes_);
+  if (!request_class) throw BadRequest{400, "unknown Request-Class"};
+  out.facts.request_class = *request_class;
+  if (!tenants_.empty()) {
+    const auto tenant = named("Tenant", tenants_);
+    if (!tenant) throw BadRequest{400, "unknown Tenant"};
+    out.facts.tenant = *tenant;
+  }
+  // Guards the classes that are not safe: what servers take for safe, or can't tell from a repeat, runs
+  // twice.
+  const quinceusher::RequestClass& facts = class_facts_[*request_class];
+  const bool safe = facts.effect == quinceusher::Effect::kSafe;
+  if (head.method() != (safe ? http::verb::get : http::verb::post)) {
+    throw BadRequest{400, "the method does not belong to the class"};
+  }
+  if ((facts.effect == quinceusher::Effect::kKeyed) == head["Idempotency-Key"].empty()) {
+    throw BadRequest{400, "Idempotency-Key does not belong to the class"};
+  }
+  const std::string_view length = view(head[http::field::content_length]);
+  if (safe && (head.count(http::field::transfer_encoding) > 0 || (!length.empty() && length != "0"))) {
+    throw BadRequest{400, "a body where none belongs"};
+  }
+  out.timeout = facts.give_up;
+  if (head.count("Request-Timeout-Ms") > 0) {
+    const auto ms = whole(view(head["Request-Timeout-Ms"]));
+    if (!ms || *ms == 0) throw BadRequest{400, "bad Request-Timeout-Ms"};
+    out.timeout = std::min(static_cast<double>(*ms) / 1000, kLongestTimeout);
+  }
+  if (head.count("Work-Hint") > 0) {
+    if (const auto us = whole(view(head["Work-Hint"]))) out.facts.work = static_cast<double>(*us) / 1e6;
+  }
+  out.facts.is_repeat = head["Client-Retry"] == "1";
+  out.forward = forward(head);
+  return out;
+}
+
+}  // namespace nettlestand
--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -2,14 +2,12 @@
 
 #include <sys/socket.h>
 
-#include <array>
-#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
 #include <cstdio>
+#include <exception>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -20,76 +18,24 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
-using Request = http::request<http::string_body>;
-
-constexpr std::size_t kBodyLimit = 64 * 1024;   // bytes
-constexpr std::size_t kReadSize = 8 * 1024;     // bytes
-constexpr std::size_t kEarlyLimit = 16 * 1024;  // bytes kept of a next request while one is being answered
-constexpr double kIdleLimit = 120;              // s without a request
-constexpr double kReadLimit = 10;               // s from a request's first byte to its last
-constexpr double kWriteLimit = 10;              // s for a client to take its answer
-constexpr double kLongestTimeout = 600;         // s
-constexpr auto kSweepPeriod = std::chrono::milliseconds(250);
-constexpr auto kAcceptPause = std::chrono::milliseconds(20);  // after a failed accept: never a busy loop
-
-// What a client is told that sent what can't be used; it reaches no server.
-struct BadRequest {
-  unsigned status;
-  const char* what;
-};
-
-std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
-
-std::optional<std::uint64_t> whole(std::string_view text) {
-  std::uint64_t out = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
-  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
-  return out;
-}
-
-std::string_view path_of(const Request& request) {
-  const std::string_view target = view(request.target());
-  return target.substr(0, target.find('?'));
-}
-
-// Headers that belong to one connection, and those that the node writes itself.
-bool goes_on(const Request& request, const Request::value_type& field) {
-  switch (field.name()) {
-    case http::field::connection:
-    case http::field::keep_alive:
-    case http::field::proxy_connection:
-    case http::field::transfer_encoding:
-    case http::field::content_length:
-    case http::field::te:
-    case http::field::trailer:
-    case http::field::upgrade:
-    case http::field::expect:
-      return false;
-    default:
-      return !boost::beast::iequals(field.name_string(), "Request-Timeout-Ms") &&
-             !http::token_list{request[http::field::connection]}.exists(field.name_string());
-  }
-}
 
-std::shared_ptr<const Forward> forward(Request&& request) {
-  auto out = std::make_shared<Forward>();
-  std::string& head = out->head;
-  head.append(view(request.method_string())).append(" ").append(view(request.target()));
-  head.append(" HTTP/1.1\r\n");
-  for (const auto& field : request) {
-    if (!goes_on(request, field)) continue;
-    head.append(view(field.name_string())).append(": ").append(view(field.value())).append("\r\n");
-  }
-  if (!request.body().empty() || request.method() == http::verb::post) {
-    head.append("Content-Length: ").append(std::to_string(request.body().size())).append("\r\n");
-  }
-  out->body = std::move(request.body());
-  return out;
-}
+constexpr std::size_t kBodyLimit = 64 * 1024;     // bytes
+constexpr std::size_t kHeadLimit = 8 * 1024;      // bytes, of a request's head and of a chunk's
+constexpr std::size_t kEarlyLimit = 8 * 1024;     // bytes kept of a next request while one is being answered
+constexpr std::size_t kEndingLimit = 256 * 1024;  // bytes thrown away after the last answer
+constexpr double kIdleLimit = 20;                 // s without a request
+constexpr double kReadLimit = 2.2;   // s for a request, from the connection's start if it is its first
+constexpr double kWriteLimit = 5;    // s for a client to take its answer
+constexpr double kEndingLimitS = 1;  // s for a client to close after its last answer
+constexpr double kYoung = 0.1;       // s in which a request that is being read is not evicted
+constexpr int kEvictionLooks = 16;   // connections looked at to find one that can go
+constexpr auto kSweepPeriod = std::chrono::milliseconds(200);
+constexpr auto kAcceptPause = std::chrono::milliseconds(20);  // after a failed accept: never a busy loop
 
-std::string message(const Answer& answer, bool close) {
+std::string head_of(const Answer& answer, bool close) {
   std::string out = "HTTP/1.1 " + std::to_string(answer.status) + " ";
-  out.append(view(http::obsolete_reason(static_cast<http::status>(answer.status))));
+  const auto reason = http::obsolete_reason(static_cast<http::status>(answer.status));
+  out.append(reason.data(), reason.size());
   out += "\r\nContent-Length: " + std::to_string(answer.body.size()) + "\r\n";
   if (!answer.content_type.empty()) out += "Content-Type: " + answer.content_type + "\r\n";
   if (answer.retry_after > 0) {
@@ -98,7 +44,7 @@
     out.append("Retry-After: ").append(seconds.data()).append("\r\n");
   }
   if (close) out += "Connection: close\r\n";
-  return out + "\r\n" + answer.body;
+  return out + "\r\n";
 }
 
 }  // namespace
@@ -108,19 +54,18 @@
   Connection(Listener& listener, tcp::socket socket) : listener_(listener), socket_(std::move(socket)) {
     ++listener_.count_;
   }
-  ~Connection() { --listener_.count_; }
+  ~Connection() { close(); }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
   void start() {
-    fresh_parser();
-    enter(State::kIdle);
+    enter(State::kFresh);
     wait_readable();
   }
 
   // Closes it unless a request is being read, waits or is being answered.
   bool close_if_idle() {
-    if (state_ != State::kIdle) return false;
+    if (state_ != State::kIdle && state_ != State::kFresh) return false;
     char byte = 0;
     // What has come and is not read yet is a request that this machine has taken.
     if (::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0) return false;
@@ -128,43 +73,74 @@
     return true;
   }
 
+  // Ends it with an error where it has sent a part of a request and has had its time.
+  bool close_if_slow(double limit) {
+    if (now() - (used_ ? since_ : connected_at_) < limit) return false;
+    static constexpr std::string_view kSlow =
+        "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    error_code ignored;
+    if (state_ == State::kReading) socket_.write_some(asio::buffer(kSlow.data(), kSlow.size()), ignored);
+    close();
+    return true;
+  }
+
   void close() {
     if (state_ == State::kClosed) return;
-    const auto self = shared_from_this();
     const bool waiting = state_ == State::kWaiting;
     enter(State::kClosed);
     error_code ignored;
     socket_.close(ignored);
+    release();
     if (waiting) listener_.engine_.gone(request_);
-    if (listener_.full_) listener_.accept_later();
+    listener_.closed();
   }
 
   double since() const { return since_; }
 
  private:
-  enum class State { kIdle, kReading, kWaiting, kWriting, kClosed };
+  enum class State { kNew, kFresh, kIdle, kReading, kWaiting, kWriting, kEnding, kClosed };
 
   Order* order_of(State state) {
-    if (state == State::kIdle) return &listener_.idle_;
-    if (state == State::kReading) return &listener_.reading_;
-    return state == State::kWriting ? &listener_.writing_ : nullptr;
+    switch (state) {
+      case State::kFresh:
+        return &listener_.fresh_;
+      case State::kIdle:
+        return &listener_.idle_;
+      case State::kReading:
+        return &listener_.reading_;
+      case State::kWriting:
+        return &listener_.writing_;
+      case State::kEnding:
+        return &listener_.ending_;
+      default:
+        return nullptr;
+    }
   }
+  static bool busy(State state) { return state == State::kWaiting || state == State::kWriting; }
 
   void enter(State state) {
-    const auto self = shared_from_this();
+    const auto self = weak_from_this().lock();  // its place may be what keeps it
     if (Order* order = listed_ ? order_of(state_) : nullptr) order->erase(place_);
+    listed_ = false;
+    if (busy(state_)) --listener_.busy_;
+    if (busy(state)) ++listener_.busy_;
     state_ = state;
     since_ = now();
-    Order* order = order_of(state);
-    listed_ = order != nullptr;
-    if (order != nullptr) place_ = order->insert(order->end(), self);
+    if (Order* order = order_of(state)) {
+      place_ = order->insert(order->end(), self);
+      listed_ = true;
+    }
   }
 
-  // Not eager: an eager parser of Beast 1.74 goes on after a head whose body is over the limit, and takes the
-  // body for more of the head.
-  void fresh_parser() {
-    parser_.emplace();
-    parser_->body_limit(kBodyLimit);
+  // Guards the other connections: what goes wrong in one, be it memory, ends that one alone.
+  template <class Step>
+  void guarded(Step&& step) {
+    try {
+      step();
+    } catch (const std::exception& problem) {
+      log_line(std::string("a caller's connection ends: ") + problem.what());
+      close();
+    }
   }
 
   // One wait is out at any time, also while a request waits for its answer: only so is it noticed that a
@@ -176,146 +152,169 @@
       self->waiting_ = false;
       if (self->state_ == State::kClosed) return;
       if (error) return self->close();
-      self->read();
+      self->guarded([&] { self->read(); });
     });
   }
 
   void read() {
-    if (in_.size() >= kEarlyLimit && state_ != State::kReading && state_ != State::kIdle) return;
+    if (busy(state_) && in_.size() >= kEarlyLimit) return;
     error_code error;
-    if (state_ == State::kIdle) came_at_ = now();
-    const std::size_t got = socket_.read_some(in_.prepare(kReadSize), error);
-    in_.commit(got);
+    const std::size_t got = socket_.read_some(asio::buffer(listener_.scratch_), error);
     if (error == asio::error::would_block) return wait_readable();
     if (error) return close();
-    if (state_ == State::kIdle) enter(State::kReading);
-    if (state_ == State::kReading) return parse();
-    wait_readable();  // the next request's bytes are kept
+    if (state_ == State::kEnding) {
+      if ((thrown_away_ += got) > kEndingLimit) return close();
+      return wait_readable();
+    }
+    in_.append(listener_.scratch_.data(), got);
+    if (busy(state_)) return wait_readable();  // the next request's bytes are kept
+    if (state_ != State::kReading) {
+      came_at_ = now();
+      enter(State::kReading);
+    }
+    parse();
   }
 
+  // Not eager: an eager parser of Beast 1.74 goes on after a head whose body is over the limit, and takes the
+  // body for more of the head.
   void parse() {
+    if (!parser_) {
+      parser_.emplace();
+      parser_->body_limit(kBodyLimit);
+      head_bytes_ = 0;
+    }
     error_code error;
-    while (in_.size() > 0 && !parser_->is_done()) {
-      const std::size_t used = parser_->put(in_.data(), error);
-      in_.consume(used);
+    std::size_t from = 0;
+    while (from < in_.size() && !parser_->is_done()) {
+      const bool in_head = !parser_->is_header_done();
+      const std::string_view bytes = std::string_view(in_).substr(from);
+      // Guards against a header that goes on in the next line: Beast joins them, others read them as two.
+      if (in_head && folded(bytes)) return turn_away(400);
+      const std::size_t used = parser_->put(asio::buffer(bytes.data(), bytes.size()), error);
+      from += used;
+      if (in_head) head_bytes_ += used;
+      // Guards against heads and chunk heads without end: Beast's own limit counts no line that is whole.
+      if (head_bytes_ > kHeadLimit) return turn_away(431);
       if (error == http::error::need_more) break;
       if (error) {
-        answer({error == http::error::body_limit ? 413U : 400U, 0, {}, {}}, true);
-        return;
+        const bool long_head = error == http::error::header_limit;
+        return turn_away(error == http::error::body_limit ? 413 : long_head ? 431 : 400);
+      }
+      if (in_head && parser_->is_header_done() && !head_came()) return;
+      if (!in_head && !claim_.grow_to(parser_->get().body().size(), listener_.budget_.size() / 2)) {
+        return turn_away(503);
       }
       if (used == 0) break;
     }
+    in_.erase(0, from);
     if (parser_->is_done()) return take();
-    if (parser_->is_header_done() && !told_to_continue_ &&
-        boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
-      told_to_continue_ = true;
+    if (in_.size() > kHeadLimit) return turn_away(431);
+    wait_readable();
+  }
+
+  // Looks at a request as soon as its head is there: what can't be used is turned away without its body.
+  bool head_came() {
+    const Intake::Head& head = parser_->get().base();
+    keep_alive_ = parser_->get().keep_alive();
+    claim_ = Claim(listener_.budget_);
+    try {
+      Intake::check_framing(head);
+      if (Intake::path_of(head) == "/api") {
+        call_.emplace(listener_.intake_.read(head));
+        // Guards against a request that runs twice, or an answer that goes to the wrong client.
+        if (listener_.engine_.knows(call_->client_id)) throw BadRequest{409, "this Request-Id is open"};
+      }
+      // Guards the memory limit: answers need room too, so requests leave half of the budget to them.
+      if (!claim_.grow_to(parser_->content_length().value_or(0), listener_.budget_.size() / 2)) {
+        throw BadRequest{503, "no memory to spare"};
+      }
+    } catch (const BadRequest& bad) {
+      turn_away(bad.status, bad.what);
+      return false;
+    }
+    if (boost::beast::iequals(head[http::field::expect], "100-continue")) {
       static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-      socket_.write_some(asio::buffer(kContinue.data(), kContinue.size()), error);
+      error_code ignored;
+      socket_.write_some(asio::buffer(kContinue.data(), kContinue.size()), ignored);
     }
-    wait_readable();
+    return true;
+  }
+
+  void turn_away(unsigned status, const char* what = nullptr) {
+    Answer out{status, 0, {}, {}, {}};
+    if (status == 503) out = listener_.engine_.refusal();
+    if (what != nullptr) {
+      out.body = std::string(what) + "\n";
+      out.content_type = "text/plain";
+    }
+    answer(std::move(out), true);
   }
 
   void take() {
-    Request request = parser_->release();
-    told_to_continue_ = false;
-    keep_alive_ = request.keep_alive();
-    const std::string_view path = path_of(request);
+    http::request<http::string_body> request = parser_->release();
+    parser_.reset();
+    const std::string_view path = Intake::path_of(request);
     if (path == "/healthz") {
-      const bool get = request.method() == http::verb::get || request.method() == http::verb::head;
       head_only_ = request.method() == http::verb::head;
-      return answer({!get                                                ? 405U
-                     : listener_.engine_.ready() && !listener_.draining_ ? 200U
-                                                                         : 503U,
-                     0,
-                     {},
-                     {}},
-                    false);
+      const unsigned status = request.method() != http::verb::get && !head_only_  ? 405
+                              : listener_.engine_.ready() && !listener_.draining_ ? 200
+                                                                                  : 503;
+      return answer({status, 0, {}, {}, {}}, false);
     }
-    if (path != "/api") return answer({404, 0, {}, {}}, false);
-    Call call;
-    try {
-      call = sound(std::move(request));
-    } catch (const BadRequest& bad) {
-      return answer({bad.status, 0, std::string(bad.what) + "\n", "text/plain"}, false);
+    if (!call_) return answer({404, 0, {}, {}, {}}, false);
+    Call call = std::move(*call_);
+    call_.reset();
+    call.came_at = came_at_;
+    if (request.method() == http::verb::post) {
+      call.forward->head += "Content-Length: " + std::to_string(request.body().size()) + "\r\n";
+    } else if (!request.body().empty()) {
+      return turn_away(400, "a body where none belongs");
     }
-    if (listener_.crowded()) return answer(listener_.engine_.refusal(), true);
+    call.forward->body = std::move(request.body());
+    call.forward->claim = std::exchange(claim_, {});
+    if (listener_.engine_.knows(call.client_id)) return turn_away(409, "this Request-Id is open");
+    if (listener_.crowded()) return turn_away(503);
     enter(State::kWaiting);
     request_ = 0;
     wait_readable();
     const std::uint64_t number =
         listener_.engine_.submit(std::move(call), [self = shared_from_this()](Answer&& final) {
-          if (self->state_ == State::kWaiting) self->answer(std::move(final), false);
+          if (self->state_ != State::kWaiting) return;
+          self->guarded([&] { self->answer(std::move(final), false); });
         });
     request_ = number;
   }
 
-  Call sound(Request&& request) const {
-    const auto named = [&](const char* field, const auto& known) {
-      const auto it = known.find(std::string(view(request[field])));
-      return it == known.end() ? std::nullopt : std::optional<std::size_t>(it->second);
-    };
-    Call out;
-    out.came_at = came_at_;
-    if (request["Request-Id"].empty()) throw BadRequest{400, "no Request-Id"};
-    const auto request_class = named("Request-Class", listener_.classes_);
-    if (!request_class) throw BadRequest{400, "unknown Request-Class"};
-    out.facts.request_class = *request_class;
-    if (!listener_.tenants_.empty()) {
-      const auto tenant = named("Tenant", listener_.tenants_);
-      if (!tenant) throw BadRequest{400, "unknown Tenant"};
-      out.facts.tenant = *tenant;
-    }
-    const quinceusher::RequestClass& facts = listener_.class_facts_[*request_class];
-    // Guards the classes that are not safe: what servers take for safe, or can't tell from a repeat, runs
-    // twice.
-    const bool safe = facts.effect == quinceusher::Effect::kSafe;
-    if (request.method() != http::verb::post && !(safe && request.method() == http::verb::get)) {
-      throw BadRequest{400, "the method does not belong to the class"};
-    }
-    if (facts.effect == quinceusher::Effect::kKeyed && request["Idempotency-Key"].empty()) {
-      throw BadRequest{400, "no Idempotency-Key"};
-    }
-    out.timeout = facts.give_up;
-    if (request.count("Request-Timeout-Ms") > 0) {
-      const auto ms = whole(view(request["Request-Timeout-Ms"]));
-      if (!ms || *ms == 0) throw BadRequest{400, "bad Request-Timeout-Ms"};
-      out.timeout = std::min(static_cast<double>(*ms) / 1000, kLongestTimeout);
-    }
-    if (request.count("Work-Hint") > 0) {
-      if (const auto us = whole(view(request["Work-Hint"]))) out.facts.work = static_cast<double>(*us) / 1e6;
-    }
-    out.facts.is_repeat = request["Client-Retry"] == "1";
-    out.forward = forward(std::move(request));
-    return out;
-  }
-
   void answer(Answer&& final, bool close) {
     close_after_ = close || !keep_alive_ || listener_.finishing_;
-    const std::size_t length = final.body.size();
-    out_ = message(final, close_after_);
-    if (std::exchange(head_only_, false)) out_.resize(out_.size() - length);
+    release();
+    head_ = head_of(final, close_after_);
+    answer_ = std::move(final);
+    if (std::exchange(head_only_, false)) answer_.body.clear();
     enter(State::kWriting);
-    asio::async_write(socket_, asio::buffer(out_),
-                      [self = shared_from_this()](const error_code& error, std::size_t) {
-                        if (self->state_ != State::kWriting) return;
-                        if (error) return self->close();
-                        self->answered();
-                      });
+    const std::array<asio::const_buffer, 2> parts = {asio::buffer(head_), asio::buffer(answer_.body)};
+    asio::async_write(socket_, parts, [self = shared_from_this()](const error_code& error, std::size_t) {
+      if (self->state_ != State::kWriting) return;
+      if (error) return self->close();
+      self->guarded([&] { self->answered(); });
+    });
   }
 
   void answered() {
-    out_.clear();
+    head_.clear();
+    answer_ = {};
+    used_ = true;
     if (close_after_ || listener_.finishing_) {
       // Guards the answer: closing over unread bytes resets the connection and may take the answer with it.
+      // So what still comes is thrown away for a while.
       error_code ignored;
       socket_.shutdown(tcp::socket::shutdown_send, ignored);
-      std::array<char, 4096> rest{};
-      for (int i = 0; i < 32 && socket_.read_some(asio::buffer(rest), ignored) > 0 && !ignored; ++i) {
-      }
-      return close();
+      std::string().swap(in_);
+      enter(State::kEnding);
+      return wait_readable();
     }
-    fresh_parser();
-    if (in_.size() == 0) {
+    if (in_.empty()) {
+      std::string().swap(in_);
       enter(State::kIdle);
       return wait_readable();
     }
@@ -324,29 +323,40 @@
     parse();
   }
 
+  // What is held for a request that is being read.
+  void release() {
+    parser_.reset();
+    call_.reset();
+    claim_ = {};
+  }
+
   Listener& listener_;
   tcp::socket socket_;
-  State state_ = State::kClosed;
-  bool listed_ = false, waiting_ = false, told_to_continue_ = false, keep_alive_ = false, head_only_ = false,
-       close_after_ = false;
+  State state_ = State::kNew;
+  bool listed_ = false, waiting_ = false, keep_alive_ = false, head_only_ = false, close_after_ = false;
+  bool used_ = false;  // has had an answer
   Order::iterator place_;
   double since_ = 0, came_at_ = 0;
+  const double connected_at_ = now();
   std::uint64_t request_ = 0;
-  boost::beast::flat_buffer in_;
-  std::string out_;
+  std::size_t head_bytes_ = 0, thrown_away_ = 0;
+  std::string in_, head_;
+  Answer answer_;
+  Claim claim_;
+  std::optional<Call> call_;
   std::optional<http::request_parser<http::string_body>> parser_;
 };
 
-Listener::Listener(asio::io_context& io, const Config& config, Engine& engine, std::size_t most_connections)
+Listener::Listener(asio::io_context& io, const Config& config, Engine& engine, ByteBudget& budget,
+                   std::size_t most_connections)
     : io_(io),
       engine_(engine),
-      class_facts_(config.settings.classes),
+      budget_(budget),
+      intake_(config),
       most_(most_connections),
       acceptor_(io),
       retry_(io),
       sweep_(io) {
-  for (const std::string& name : config.classes) classes_.emplace(name, classes_.size());
-  for (const std::string& name : config.tenants) tenants_.emplace(name, tenants_.size());
   acceptor_.open(config.listen.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.bind(config.listen);
@@ -356,8 +366,8 @@
   sweep();
 }
 
-// Guards the limit on descriptors: the longest idle connection makes room; where none is idle, the rest wait
-// in the machine's queue until one ends.
+// Guards the limit on descriptors: a connection that does nothing makes room; where there is none, the rest
+// wait in the machine's queue until one ends.
 void Listener::accept() {
   if (accepting_ || !acceptor_.is_open()) return;
   accepting_ = true;
@@ -366,17 +376,17 @@
     if (error == asio::error::operation_aborted) return;
     if (error) return accept_later();
     for (int i = 0; i < 64; ++i) {
-      if (count_ >= most_ && (idle_.empty() || !idle_.front()->close_if_idle())) {
+      if (count_ >= most_ && !make_room()) {
         if (!full_) log_line("no room for further connections of callers");
         full_ = true;
-        return accept_later();
+        return;  // the next one that closes accepts
       }
-      full_ = false;
       error_code failed;
       tcp::socket socket(io_);
       acceptor_.accept(socket, failed);
       if (failed == asio::error::would_block || failed == asio::error::connection_aborted) break;
       if (failed) return accept_later();  // no descriptor left, most likely
+      full_ = false;
       adopt(std::move(socket));
     }
     accept();
@@ -384,19 +394,49 @@
 }
 
 void Listener::accept_later() {
+  if (make_room()) return accept();
   retry_.expires_after(kAcceptPause);
   retry_.async_wait([this](const error_code& error) {
     if (!error) accept();
   });
 }
 
-bool Listener::adopt(tcp::socket socket) {
+void Listener::adopt(tcp::socket socket) {
   error_code error;
   socket.set_option(tcp::no_delay(true), error);
   socket.non_blocking(true, error);
-  if (error) return false;
-  std::make_shared<Connection>(*this, std::move(socket))->start();
-  return true;
+  if (error) return;
+  try {
+    std::make_shared<Connection>(*this, std::move(socket))->start();
+  } catch (const std::exception& problem) {
+    log_line(std::string("a caller's connection is not taken: ") + problem.what());
+  }
+}
+
+void Listener::closed() {
+  --count_;
+  if (full_) accept();
+}
+
+// The most useless go first: those that have their last answer, those that never sent a byte, those that are
+// idle, and last those that are slow to send. Guards the usual clients against hundreds that connect and
+// wait.
+bool Listener::make_room() {
+  if (!ending_.empty()) {
+    const std::shared_ptr<Connection> oldest = ending_.front();
+    oldest->close();
+    return true;
+  }
+  for (const Order* order : {&fresh_, &idle_}) {
+    int looks = 0;  // one with a request that is not read yet must not protect those behind it
+    for (auto it = order->begin(); it != order->end() && looks < kEvictionLooks; ++looks) {
+      const std::shared_ptr<Connection> next = *it++;
+      if (next->close_if_idle()) return true;
+    }
+  }
+  if (reading_.empty()) return false;
+  const std::shared_ptr<Connection> slowest = reading_.front();
+  return slowest->close_if_slow(kYoung);
 }
 
 void Listener::sweep() {
@@ -406,9 +446,14 @@
       oldest->close();
     }
   };
+  close_older(fresh_, kReadLimit);
   close_older(idle_, kIdleLimit);
-  close_older(reading_, kReadLimit);
   close_older(writing_, kWriteLimit);
+  close_older(ending_, kEndingLimitS);
+  for (auto it = reading_.begin(); it != reading_.end();) {
+    const std::shared_ptr<Connection> next = *it++;
+    next->close_if_slow(kReadLimit);
+  }
   sweep_.expires_after(kSweepPeriod);
   sweep_.async_wait([this](const error_code& error) {
     if (!error) sweep();
@@ -417,8 +462,10 @@
 
 void Listener::finish() {
   finishing_ = true;
-  const Order idle = idle_;
-  for (const std::shared_ptr<Connection>& connection : idle) connection->close_if_idle();
+  for (const Order* order : {&fresh_, &idle_}) {
+    const Order all = *order;
+    for (const std::shared_ptr<Connection>& connection : all) connection->close_if_idle();
+  }
 }
 
 void Listener::stop_accepting() {
--- a/node/listener.h
+++ b/node/listener.h
@@ -1,17 +1,17 @@
 // Callers' connections: reads requests, answers what needs no server, and passes /api on to the engine.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <list>
 #include <memory>
-#include <string>
-#include <unordered_map>
-#include <vector>
 
+#include "node/budget.h"
 #include "node/config.h"
 #include "node/engine.h"
+#include "node/intake.h"
 
 namespace nettlestand {
 
@@ -20,7 +20,8 @@
   class Connection;
 
   // Throws boost::system::system_error when the address can't be listened on.
-  Listener(boost::asio::io_context& io, const Config& config, Engine& engine, std::size_t most_connections);
+  Listener(boost::asio::io_context& io, const Config& config, Engine& engine, ByteBudget& budget,
+           std::size_t most_connections);
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
@@ -37,18 +38,22 @@
 
   void accept();
   void accept_later();
-  bool adopt(boost::asio::ip::tcp::socket socket);
+  void adopt(boost::asio::ip::tcp::socket socket);
+  bool make_room();
+  void closed();
   void sweep();
-  bool crowded() const { return count_ - idle_.size() > most_ - most_ / 8; }
+  bool crowded() const { return busy_ > most_ - most_ / 8; }
 
   boost::asio::io_context& io_;
   Engine& engine_;
-  std::unordered_map<std::string, std::size_t> classes_, tenants_;
-  std::vector<quinceusher::RequestClass> class_facts_;
+  ByteBudget& budget_;
+  const Intake intake_;
   const std::size_t most_;
-  std::size_t count_ = 0;
+  std::size_t count_ = 0, busy_ = 0;  // busy: with a request that waits for its answer or gets it
   bool draining_ = false, finishing_ = false, accepting_ = false, full_ = false;
-  Order idle_, reading_, writing_;  // each in the order in which they became so
+  // Each in the order in which they became so. fresh: has sent nothing yet; ending: has its last answer.
+  Order fresh_, idle_, reading_, writing_, ending_;
+  std::array<char, 16 * 1024> scratch_{};  // what is read goes through here: one thread, one buffer
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer retry_, sweep_;
 };
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -14,6 +14,7 @@
 #include <stdexcept>
 #include <string>
 
+#include "node/budget.h"
 #include "node/config.h"
 #include "node/discovery.h"
 #include "node/engine.h"
@@ -25,6 +26,7 @@
 namespace ns = nettlestand;
 
 constexpr std::size_t kOtherSockets = 40;  // the event loop's, standard ones, discovery, and headroom
+constexpr std::size_t kBodyPart = 3;       // of the memory, the part that bodies may take up: a third
 constexpr int kBadConfig = 2, kCannotStart = 1;
 
 // After SIGTERM, new connections still come for up to 0.4 s, and SIGKILL no sooner than the longest deadline
@@ -60,8 +62,9 @@
         discovery_(io_, config,
                    {[this](const ns::ServerList& list) { engine_.list_came(list); },
                     [this] { engine_.watch_failed(); }}),
-        engine_(io_, config, sockets_ * 9 / 20, [this] { discovery_.watch(); }),
-        listener_(io_, config, engine_, sockets_ * 11 / 20),
+        budget_(config.memory_mb * 1024 * 1024 / kBodyPart),
+        engine_(io_, config, budget_, sockets_ * 9 / 20, [this] { discovery_.watch(); }),
+        listener_(io_, config, engine_, budget_, sockets_ * 11 / 20),
         signals_(io_, SIGTERM, SIGINT),
         reload_(io_, SIGHUP),
         look_(io_) {}
@@ -130,6 +133,7 @@
   const std::size_t sockets_;
   const double last_answers_;
   ns::Discovery discovery_;
+  ns::ByteBudget budget_;
   ns::Engine engine_;
   ns::Listener listener_;
   asio::signal_set signals_, reload_;
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -3,14 +3,17 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <cmath>
+#include <exception>
 #include <optional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
+#include "node/engine.h"
+
 namespace nettlestand {
 namespace {
 
@@ -21,7 +24,8 @@
 using quinceusher::Outcome;
 
 constexpr std::size_t kBodyLimit = 64 * 1024;  // bytes, as the protocol has it
-constexpr std::size_t kReadSize = 16 * 1024;   // bytes
+constexpr std::size_t kHeadLimit = 16 * 1024;  // bytes, of an answer's head and of a chunk's
+constexpr int kMostInterim = 8;                // answers 1xx ahead of the final one
 constexpr double kKeepIdle = 0.9;              // of the servers' idle time; what is older is closed, not used
 
 std::chrono::nanoseconds duration(double seconds) {
@@ -35,11 +39,13 @@
  public:
   enum class State { kConnecting, kWriting, kReading, kParked, kClosed };
 
-  Connection(Upstream& pool, std::string server)
-      : pool_(pool), server(std::move(server)), socket_(pool.io_), timer_(pool.io_) {
+  Connection(Upstream& pool, std::string server, std::uint64_t generation)
+      : pool_(pool), server(std::move(server)), generation(generation), socket_(pool.io_), timer_(pool.io_) {
     ++pool_.open_;
   }
-  ~Connection() { --pool_.open_; }
+  ~Connection() {
+    if (state != State::kClosed) --pool_.open_;
+  }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
@@ -49,6 +55,7 @@
     give_up_at_ = now() + timeout;
     done_ = std::move(done);
     fresh_parser();
+    interim_ = 0;
     written_ = 0;
     out_.clear();
   }
@@ -64,7 +71,7 @@
       if (self->state != State::kConnecting) return;
       if (Server* known = self->pool_.find(self->server)) known->connecting.erase(self);
       if (failed) return self->end(Outcome::kDialFailed, false);
-      self->start_writing();
+      self->guarded([&] { self->start_writing(); });
     });
   }
 
@@ -74,7 +81,6 @@
     const double left = std::max(1.0, std::floor((give_up_at_ - now()) * 1000));
     out_ = request_->head;
     out_ += "Request-Timeout-Ms: " + std::to_string(static_cast<std::int64_t>(left)) + "\r\n\r\n";
-    out_ += request_->body;
     write();
   }
 
@@ -93,15 +99,19 @@
 
   // Ends the attempt, if there is one, and with it the connection unless it may be kept.
   void end(Outcome outcome, bool keep) {
-    AttemptEnd result{outcome, {}, {}};
+    AttemptEnd result{outcome, {}, {}, {}};
     if (outcome == Outcome::kDelivered) {
       result.content_type = std::string(parser_->get()[http::field::content_type]);
       result.body = std::move(parser_->get().body());
+      result.claim = std::exchange(claim_, {});
     }
+    claim_ = {};
     timer_.cancel();
     const Done done = std::exchange(done_, nullptr);
     parser_.reset();
     request_.reset();
+    std::string().swap(out_);
+    std::string().swap(in_);
     if (keep) {
       pool_.park(shared_from_this());
     } else {
@@ -114,6 +124,7 @@
     if (state == State::kConnecting) {
       if (Server* known = pool_.find(server)) known->connecting.erase(shared_from_this());
     }
+    if (state != State::kClosed) --pool_.open_;
     state = State::kClosed;
     error_code ignored;
     socket_.close(ignored);
@@ -121,6 +132,17 @@
   }
 
  private:
+  // Guards the other attempts: what goes wrong on one connection, be it memory, ends that one alone.
+  template <class Step>
+  void guarded(Step&& step) {
+    try {
+      step();
+    } catch (const std::exception& problem) {
+      log_line("a connection to " + server + " ends: " + problem.what());
+      end(state == State::kReading ? Outcome::kUnknown : Outcome::kDialFailed, false);
+    }
+  }
+
   void arm_timer(double at) {
     timer_.expires_after(duration(at - now()));
     timer_.async_wait([self = shared_from_this(), serial = serial_](const error_code& error) {
@@ -138,22 +160,27 @@
   // The writing is done here and not by a composed operation, which would tell of the last byte only later:
   // in between, a time-out would take a request that is out for one that is not.
   void write() {
-    while (written_ < out_.size()) {
+    const std::size_t head = out_.size(), all = head + request_->body.size();
+    while (written_ < all) {
+      const std::string_view rest = std::string_view(written_ < head ? out_ : request_->body)
+                                        .substr(written_ < head ? written_ : written_ - head);
       error_code error;
-      written_ += socket_.write_some(asio::buffer(out_.data() + written_, out_.size() - written_), error);
+      const std::array<asio::const_buffer, 2> parts = {
+          asio::buffer(rest.data(), rest.size()),
+          written_ < head ? asio::buffer(request_->body) : asio::const_buffer()};
+      written_ += socket_.write_some(parts, error);
       if (error == asio::error::would_block) {
         socket_.async_wait(tcp::socket::wait_write,
                            [self = shared_from_this(), serial = serial_](const error_code& failed) {
                              if (self->state != State::kWriting || serial != self->serial_) return;
                              if (failed) return self->end(Outcome::kDialFailed, false);
-                             self->write();
+                             self->guarded([&] { self->write(); });
                            });
         return;
       }
       if (error) return end(Outcome::kDialFailed, false);
     }
-    out_.clear();
-    out_.shrink_to_fit();
+    std::string().swap(out_);
     state = State::kReading;
     wait_readable();
   }
@@ -169,36 +196,60 @@
         self->close();
       } else if (self->state == State::kReading) {
         if (error) return self->end(Outcome::kReset, false);
-        self->read();
+        self->guarded([&] { self->read(); });
       }
     });
   }
 
   void read() {
     error_code error;
-    const std::size_t got = socket_.read_some(in_.prepare(kReadSize), error);
-    in_.commit(got);
+    const std::size_t got = socket_.read_some(asio::buffer(pool_.scratch_), error);
     if (error == asio::error::would_block) return wait_readable();
     if (error) return end(Outcome::kReset, false);  // an answer without a length ends here too: perhaps cut
-    while (in_.size() > 0 && !parser_->is_done()) {
-      const std::size_t used = parser_->put(in_.data(), error);
-      in_.consume(used);
+    in_.append(pool_.scratch_.data(), got);
+    std::size_t from = 0;
+    while (from < in_.size() && !parser_->is_done()) {
+      const bool in_head = !parser_->is_header_done();
+      const std::size_t used = parser_->put(asio::buffer(in_.data() + from, in_.size() - from), error);
+      from += used;
+      if (in_head) head_bytes_ += used;
+      if (error && error != http::error::need_more) return end(Outcome::kUnknown, false);
+      // Guards the memory and the client: an answer whose head has no end, or whose length is in doubt or too
+      // long, is spoilt. It ends here, as one that may have run, and its connection is of no further use.
+      if (head_bytes_ > kHeadLimit || (in_head && parser_->is_header_done() && !sound_head())) {
+        return end(Outcome::kUnknown, false);
+      }
+      if (!claim_.grow_to(parser_->get().body().size())) return end(Outcome::kUnknown, false);
       if (error == http::error::need_more) break;
-      if (error) return end(Outcome::kUnknown, false);
       if (parser_->is_done() && is_interim()) {
+        if (++interim_ > kMostInterim) return end(Outcome::kUnknown, false);
         fresh_parser();
       } else if (used == 0) {
         break;
       }
     }
-    if (!parser_->is_done()) return wait_readable();
-    end(outcome(), parser_->get().keep_alive() && in_.size() == 0);
+    in_.erase(0, from);
+    if (parser_->is_done()) return end(outcome(), parser_->get().keep_alive() && in_.empty());
+    if (in_.size() > kHeadLimit) return end(Outcome::kUnknown, false);
+    wait_readable();
   }
 
   // Not eager: an eager parser of Beast 1.74 goes on after a head whose body is over the limit.
   void fresh_parser() {
     parser_.emplace();
     parser_->body_limit(kBodyLimit);
+    head_bytes_ = 0;
+    claim_ = Claim(pool_.budget_);
+  }
+
+  // Whether a head leaves no doubt where its answer ends, and there is room for it.
+  bool sound_head() {
+    const auto& head = parser_->get();
+    const std::size_t encodings = head.count(http::field::transfer_encoding);
+    if (head.count(http::field::content_length) + encodings > 1) return false;
+    if (encodings == 1 && !boost::beast::iequals(head[http::field::transfer_encoding], "chunked"))
+      return false;
+    return claim_.grow_to(parser_->content_length().value_or(0));
   }
 
   bool is_interim() const {
@@ -219,6 +270,7 @@
 
  public:
   const std::string server;
+  const std::uint64_t generation;
   State state = State::kConnecting;
   double parked_at = 0;
   std::list<std::shared_ptr<Connection>>::iterator place;  // among all that are parked
@@ -228,9 +280,10 @@
   tcp::socket socket_;
   asio::steady_timer timer_;
   bool waiting_ = false;
-  boost::beast::flat_buffer in_;
-  std::string out_;
-  std::size_t written_ = 0;
+  std::string in_, out_;  // out: the head of the request
+  std::size_t written_ = 0, head_bytes_ = 0;
+  int interim_ = 0;
+  Claim claim_;
   std::uint64_t serial_ = 0;
   std::shared_ptr<const Forward> request_;
   double give_up_at_ = 0;
@@ -238,8 +291,9 @@
   std::optional<http::response_parser<http::string_body>> parser_;
 };
 
-Upstream::Upstream(asio::io_context& io, const Config& config, std::size_t most_sockets)
+Upstream::Upstream(asio::io_context& io, const Config& config, ByteBudget& budget, std::size_t most_sockets)
     : io_(io),
+      budget_(budget),
       connect_timeout_(config.connect_timeout),
       keep_idle_(config.idle_close * kKeepIdle),
       most_sockets_(most_sockets),
@@ -256,7 +310,7 @@
                                  double timeout, Done done) {
   Server* known = find(server);
   if (known == nullptr || timeout <= 0) {
-    done({Outcome::kNotSent, {}, {}});
+    done({Outcome::kNotSent, {}, {}, {}});
     return {};
   }
   const std::uint64_t serial = ++serial_;
@@ -266,10 +320,10 @@
     return {old, serial};
   }
   if (!make_room()) {
-    done({Outcome::kNotSent, {}, {}});
+    done({Outcome::kNotSent, {}, {}, {}});
     return {};
   }
-  const auto fresh = std::make_shared<Connection>(*this, server);
+  const auto fresh = std::make_shared<Connection>(*this, server, known->generation);
   fresh->begin(serial, std::move(request), timeout, std::move(done));
   known->connecting.insert(fresh);
   fresh->connect(known->dial);
@@ -305,7 +359,8 @@
 
 void Upstream::park(const std::shared_ptr<Connection>& connection) {
   Server* known = find(connection->server);
-  if (known == nullptr) return connection->close();
+  // Guards against a connection that leads to the process before: it was busy while another took its place.
+  if (known == nullptr || known->generation != connection->generation) return connection->close();
   connection->state = Connection::State::kParked;
   connection->parked_at = now();
   connection->place = parked_.insert(parked_.end(), connection);
@@ -337,8 +392,13 @@
   });
 }
 
+void Upstream::stop_connecting(const Server& server, std::vector<Handle>& stopped) {
+  for (const std::shared_ptr<Connection>& waiting : server.connecting) stopped.push_back(waiting->handle());
+}
+
 std::vector<Upstream::Handle> Upstream::apply(const ServerList& list) {
   std::vector<std::string> gone;
+  std::vector<Handle> stopped;
   if (list.whole) {
     std::unordered_set<std::string> named;
     for (const ListedServer& told : list.servers) named.insert(told.facts.address);
@@ -352,19 +412,20 @@
       continue;
     }
     Server& server = servers_[told.facts.address];
-    // Another process, or the same at another address: what is parked leads nowhere.
-    if (server.dial != told.dial || server.started != told.facts.started) close_parked(server);
+    // Another process, or the same at another address: what is parked or on its way leads nowhere.
+    if (server.dial != told.dial || server.started != told.facts.started) {
+      close_parked(server);
+      stop_connecting(server, stopped);
+      server.generation = ++generation_;
+    }
     server.dial = told.dial;
     server.started = told.facts.started;
   }
   // Guards the drains: a send that still waits for its connection must not be written later.
-  std::vector<Handle> stopped;
   for (const std::string& name : gone) {
     const auto it = servers_.find(name);
     if (it == servers_.end()) continue;
-    for (const std::shared_ptr<Connection>& waiting : it->second.connecting) {
-      stopped.push_back(waiting->handle());
-    }
+    stop_connecting(it->second, stopped);
     close_parked(it->second);
     servers_.erase(it);
   }
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -1,6 +1,7 @@
 // Attempts at servers: a keep-alive pool for each server, and the outcome of each attempt.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -14,6 +15,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "node/budget.h"
 #include "node/config.h"
 #include "quinceusher/balancer.h"
 
@@ -23,11 +25,13 @@
 struct Forward {
   std::string head;  // request line and headers, but for Request-Timeout-Ms and the empty line
   std::string body;
+  Claim claim;  // on the bytes of the body
 };
 
 struct AttemptEnd {
   quinceusher::Outcome outcome = quinceusher::Outcome::kUnknown;
   std::string body, content_type;  // of a delivered answer
+  Claim claim;                     // on the bytes of that body
 };
 
 class Upstream {
@@ -39,7 +43,7 @@
     std::uint64_t serial = 0;
   };
 
-  Upstream(boost::asio::io_context& io, const Config& config, std::size_t most_sockets);
+  Upstream(boost::asio::io_context& io, const Config& config, ByteBudget& budget, std::size_t most_sockets);
 
   // Starts an attempt. `done` is called exactly once, perhaps before this returns.
   Handle start(const std::string& server, std::shared_ptr<const Forward> request, double timeout, Done done);
@@ -48,7 +52,7 @@
   void stop(const Handle& attempt, quinceusher::Outcome outcome);
 
   // Takes over a list, or the changes in it. Servers that drain or are gone get nothing more: returns the
-  // attempts that still wait for a connection to one, to be stopped as not sent.
+  // attempts that still wait for a connection to one, or to where one was before, to be stopped as not sent.
   std::vector<Handle> apply(const ServerList& list);
 
   std::size_t servers() const { return servers_.size(); }  // that may be sent to
@@ -57,6 +61,7 @@
   struct Server {
     boost::asio::ip::tcp::endpoint dial;
     double started = 0;
+    std::uint64_t generation = 0;                    // new with each process or address
     std::deque<std::shared_ptr<Connection>> parked;  // the most recently used at the back
     std::unordered_set<std::shared_ptr<Connection>> connecting;
   };
@@ -68,12 +73,15 @@
   void unpark(const std::shared_ptr<Connection>& connection);
   void close_parked(Server& server);
   void close_old();
+  static void stop_connecting(const Server& server, std::vector<Handle>& stopped);
 
   boost::asio::io_context& io_;
+  ByteBudget& budget_;
   const double connect_timeout_, keep_idle_;
   const std::size_t most_sockets_;
   std::size_t open_ = 0;
-  std::uint64_t serial_ = 0;
+  std::uint64_t serial_ = 0, generation_ = 0;
+  std::array<char, 16 * 1024> scratch_{};  // what is read goes through here: one thread, one buffer
   std::unordered_map<std::string, Server> servers_;
   std::list<std::shared_ptr<Connection>> parked_;  // all of them, the longest idle first
   boost::asio::steady_timer sweep_;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -6,6 +6,7 @@
 #include <limits>
 #include <unordered_map>
 
+#include "members.h"
 #include "quinceusher/balancer.h"
 #include "support.h"
 
@@ -44,17 +45,16 @@
 constexpr double kColdBudget = 1.5;    // x its sure capacity: others run at part load, rules allow more
 constexpr double kAdmittedMemory = 5;  // s; smoothing of the admitted rate that sizes cold budgets
 
-constexpr double kAnsweredMemory = 2;  // s; smoothing of the rate at which a server answers this copy
-constexpr double kQueueFactor = 1.5;   // x the usual answer time of an idle tier; longer queues get no call
-constexpr double kTierFactor = 1.8;    // x the same for all servers together, whose measure is steadier
-constexpr double kStartBase = 0.15;    // of the aim; taken for the usual answer time until it is learned
-constexpr double kMostBase = 0.3;      // of the aim; a start under load takes no queue for usual
-constexpr double kBaseCalls = 20;      // calls; answers before the usual answer time counts as learned
-constexpr double kBaseSettle = 3;      // s; before it the answers are those of the quickest calls only
-constexpr double kBaseGain = 0.02;     // weight of one answer
-constexpr double kBaseFall = 5;        // s; how fast a quicker tier becomes the usual
-constexpr double kBaseRise = 60;       // s; how fast a slower one does: queues must not
-constexpr double kLeastRoom = 2;       // calls in flight, over all copies, that any server has room for
+constexpr double kQueueFactor = 1.5;  // x the usual answer time of an idle tier; longer queues get no call
+constexpr double kTierFactor = 1.8;   // x the same for all servers together, whose measure is steadier
+constexpr double kStartBase = 0.15;   // of the aim; taken for the usual answer time until it is learned
+constexpr double kMostBase = 0.3;     // of the aim; a start under load takes no queue for usual
+constexpr double kBaseCalls = 20;     // calls; answers before the usual answer time counts as learned
+constexpr double kBaseSettle = 3;     // s; before it the answers are those of the quickest calls only
+constexpr double kBaseGain = 0.02;    // weight of one answer
+constexpr double kBaseFall = 5;       // s; how fast a quicker tier becomes the usual
+constexpr double kBaseRise = 60;      // s; how fast a slower one does: queues must not
+constexpr double kLeastRoom = 2;      // calls in flight, over all copies, that any server has room for
 constexpr double kFewCalls = 3;  // calls in flight; a copy with fewer at a time is sparse: they tell nothing
 constexpr double kTierMemory = 2.5;  // s; smoothing of calls in flight and of answers, all servers together
 constexpr double kSparseStartCalls = 1.5;  // and these at the start, fading
@@ -63,8 +63,6 @@
 
 constexpr double kSlowPower = 2;     // how strongly slow answers lower a server's part of the draw
 constexpr double kPriorAnswers = 2;  // calls; before a server has answered so many it counts as usual by half
-constexpr double kMostAnswers = 4;   // calls; more would hide a change from a copy with many calls
-constexpr double kAnswerMemory = 8;  // s; older answers tell nothing: a shunned server is tried again
 constexpr double kQuickest = 0.5;    // x the tier's answer time; a few lucky answers draw no crowd
 constexpr double kFailed = 8;  // x the tier's answer time; a call without an answer counts as one so slow
 constexpr double kIll = 3;     // x the tier's answer time, from which a server is shunned
@@ -110,17 +108,6 @@
   double ended = 0, bad = 0, next_review = -kForever;
 };
 
-struct ServerNode {
-  Server told;
-  std::uint64_t order = 0;
-  int in_flight = 0;
-  double cold_tokens = 0, cold_at = 0;
-  FadingRate answered{kAnsweredMemory};
-  FadingMean answers{kAnswerMemory, kMostAnswers};  // answer times, as parts of the aim
-  double sent_sum = 0;                              // send times of the calls in flight, added up
-  double met_at = 0, dither = 0;
-};
-
 }  // namespace
 
 double suppression_factor(double rate_limit, double window_rate, double last_second_rate) {
@@ -225,24 +212,6 @@
 
   // ---------------------------------------------------------------- who is there?
 
-  void learn(const Server& told) {
-    const auto [it, unknown] = by_address_.try_emplace(told.address, servers_.size());
-    if (unknown) servers_.emplace_back().order = hash_of(told.address);
-    ServerNode& s = servers_[it->second];
-    if (unknown || told.started != s.told.started) {
-      ServerNode fresh;  // another process: what the last one did says nothing
-      fresh.order = s.order;
-      fresh.in_flight = s.in_flight;
-      fresh.sent_sum = s.sent_sum;
-      fresh.met_at = fresh.cold_at = now_;
-      fresh.dither = random_.unit();
-      fresh.cold_tokens = random_.unit();  // copies hear of a start together and must not send together
-      s = fresh;
-    }
-    s.told = told;
-    if (!(s.told.weight > 0)) s.told.weight = 1;
-  }
-
   void rebuild_subset() {
     ring_.clear();
     std::vector<std::size_t> local, far;
@@ -356,9 +325,8 @@
     for (const Attempt& a : p.attempts) {
       if (!a.may_have_run || c.effect == Effect::kSafe) continue;
       if (c.effect == Effect::kUnsafe || now_ > a.sent + c.dedup_window) return false;
-      const Server& t = servers_[a.server].told;
-      if (c.dedup_scope == DedupScope::kZone && t.zone != s.told.zone) return false;
-      if (c.dedup_scope == DedupScope::kCell && t.cell != s.told.cell) return false;
+      if (c.dedup_scope == DedupScope::kZone && a.zone != s.told.zone) return false;
+      if (c.dedup_scope == DedupScope::kCell && a.cell != s.told.cell) return false;
     }
     return true;
   }
@@ -375,7 +343,7 @@
     for (const std::size_t i : from) {
       ServerNode& s = servers_[i];
       if (only_healthy && slowness(s) >= kIll) continue;
-      if (!has_room(s) || (only_untried && p.tried(i))) continue;
+      if (!has_room(s) || (only_untried && p.tried(s.order))) continue;
       if (!in_scope(p, s) || !budget_allows(s)) continue;
       choice_.emplace_back(i, worth_now(s));
       choice_worth_ += choice_.back().second;
@@ -437,7 +405,7 @@
     s.in_flight += 1;
     s.sent_sum += now_;
     in_flight_.change(now_, 1);
-    p.attempts.push_back({*server, now_, true, true});
+    p.attempts.push_back({*server, s.order, s.told.zone, s.told.cell, now_, true, true});
     out_->push_back(Send{id, s.told.address, limit});
     return true;
   }
@@ -562,9 +530,10 @@
     rewatch_ = kRewatch;
     met_at_ = std::min(met_at_, now_);
     if (update.form == MembershipUpdate::Form::kFull) {
-      for (ServerNode& s : servers_) s.told.state = ServerState::kGone;  // what a full list lacks is gone
+      servers_.all_gone();  // what a full list lacks is gone
     }
-    for (const Server& told : update.servers) learn(told);
+    for (const Server& told : update.servers) servers_.learn(told, now_, random_);
+    servers_.forget_gone();
     rebuild_subset();
   }
 
@@ -583,8 +552,7 @@
   Estimate tier_answer_;           // answer time of the tier, as a part of the aim
   IdleTime idle_;                  // of the tier
   std::vector<Estimate> latency_;  // by class
-  std::vector<ServerNode> servers_;
-  std::unordered_map<std::string, std::size_t> by_address_;
+  Members servers_;
   std::vector<std::size_t> ring_, subset_;
   std::vector<std::pair<std::size_t, double>> choice_;  // servers to choose from, with their worth now
   double choice_worth_ = 0;
--- a/src/support.h
+++ b/src/support.h
@@ -146,7 +146,9 @@
 };
 
 struct Attempt {
-  std::size_t server = 0;
+  std::size_t server = 0;   // its slot; another's once the attempt has ended
+  std::uint64_t order = 0;  // tells the server for good
+  int zone = 0, cell = 0;   // of the server, when it was sent to
   double sent = 0;
   bool open = true, may_have_run = true;
 };
@@ -164,9 +166,8 @@
   bool may_have_run() const {
     return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.may_have_run; });
   }
-  bool tried(std::size_t server) const {
-    return std::any_of(attempts.begin(), attempts.end(),
-                       [=](const Attempt& a) { return a.server == server; });
+  bool tried(std::uint64_t order) const {
+    return std::any_of(attempts.begin(), attempts.end(), [=](const Attempt& a) { return a.order == order; });
   }
 };
 
