--- a/node/main.cpp
+++ b/node/main.cpp
@@ -33,7 +33,8 @@
 // (3 s at most) and 0.7 s after it.
 constexpr double kAcceptOn = 0.55;      // s
 constexpr double kLongestDeadline = 3;  // s
-constexpr double kServeUntil = 0.3;     // s before the longest deadline; most answers take 0.5 s
+constexpr double kMoveOn = 1.2;         // s before the longest deadline, clients are sent to the other nodes
+constexpr double kServeAlone = 0.1;     // s before the last answers, where there is no other node
 constexpr double kLastAnswers = 0.45;   // s over the longest deadline; what is open then is answered
 constexpr double kExit = 0.1;           // s after that, for answers to be written
 constexpr auto kDrainLook = std::chrono::milliseconds(20);
@@ -59,6 +60,7 @@
       : io_(1),
         sockets_(config.sockets - kOtherSockets),
         last_answers_(longest_deadline(config.settings) + kLastAnswers),
+        alone_(config.settings.copy_count == 1),
         discovery_(io_, config,
                    {[this](const ns::ServerList& list) { engine_.list_came(list); },
                     [this] { engine_.watch_failed(); }}),
@@ -116,7 +118,8 @@
     }
     // Guards the clients of a node that restarts alone: where there is no other to go to, closing their
     // connections at the signal leaves them without service for seconds in which this node can still serve.
-    if (since >= std::max(kAcceptOn, last_answers_ - kLastAnswers - kServeUntil)) listener_.finish();
+    const double served = alone_ ? last_answers_ - kServeAlone : last_answers_ - kLastAnswers - kMoveOn;
+    if (since >= std::max(kAcceptOn, served)) listener_.finish();
     if (since >= last_answers_) engine_.expire_all();
     if ((!accepting_ && since >= kAcceptOn + 0.1 && listener_.connections() == 0) ||
         since >= last_answers_ + kExit) {
@@ -132,6 +135,7 @@
   asio::io_context io_;
   const std::size_t sockets_;
   const double last_answers_;
+  const bool alone_;  // the only node before its tier
   ns::Discovery discovery_;
   ns::ByteBudget budget_;
   ns::Engine engine_;
