--- a/node/intake.cpp
+++ b/node/intake.cpp
@@ -133,6 +133,7 @@
   }
   out.facts.is_repeat = head["Client-Retry"] == "1";
   out.forward = forward(head);
+  out.forward->repeatable = facts.effect != quinceusher::Effect::kUnsafe;
   return out;
 }
 
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -25,6 +25,9 @@
 
 constexpr std::size_t kBodyLimit = 64 * 1024;  // bytes, as the protocol has it
 constexpr std::size_t kHeadLimit = 16 * 1024;  // bytes, of an answer's head and of a chunk's
+constexpr double kFreshIdle = 0.1;             // s; a connection idle for less has hardly ever gone stale
+constexpr double kStaleReset = 0.02;           // s; a kept connection that breaks so soon was stale
+constexpr double kWary = 10;                   // s after such a one
 constexpr int kMostInterim = 8;                // answers 1xx ahead of the final one
 constexpr double kKeepIdle = 0.9;              // of the servers' idle time; what is older is closed, not used
 
@@ -52,7 +55,9 @@
   void begin(std::uint64_t serial, std::shared_ptr<const Forward> request, double timeout, Done done) {
     serial_ = serial;
     request_ = std::move(request);
-    give_up_at_ = now() + timeout;
+    began_ = now();
+    idle_ = state == State::kParked ? began_ - parked_at : 0;
+    give_up_at_ = began_ + timeout;
     done_ = std::move(done);
     fresh_parser();
     interim_ = 0;
@@ -100,6 +105,9 @@
   // Ends the attempt, if there is one, and with it the connection unless it may be kept.
   void end(Outcome outcome, bool keep) {
     AttemptEnd result{outcome, {}, {}, {}};
+    if (outcome == Outcome::kReset && idle_ >= kFreshIdle && now() - began_ < kStaleReset) {
+      pool_.wary_until_ = now() + kWary;
+    }
     if (outcome == Outcome::kDelivered) {
       result.content_type = std::string(parser_->get()[http::field::content_type]);
       result.body = std::move(parser_->get().body());
@@ -286,7 +294,7 @@
   Claim claim_;
   std::uint64_t serial_ = 0;
   std::shared_ptr<const Forward> request_;
-  double give_up_at_ = 0;
+  double began_ = 0, idle_ = 0, give_up_at_ = 0;
   Done done_;
   std::optional<http::response_parser<http::string_body>> parser_;
 };
@@ -314,7 +322,7 @@
     return {};
   }
   const std::uint64_t serial = ++serial_;
-  if (const std::shared_ptr<Connection> old = reuse(*known)) {
+  if (const std::shared_ptr<Connection> old = reuse(*known, request->repeatable)) {
     old->begin(serial, std::move(request), timeout, std::move(done));
     old->start_writing();
     return {old, serial};
@@ -336,9 +344,12 @@
 
 // The most recently used, so that the others can idle out. Guards against writing on a connection that the
 // server has closed or is about to close: what may not be repeated would be lost.
-std::shared_ptr<Upstream::Connection> Upstream::reuse(Server& server) {
+// Where kept connections break under their next request all the same, as when something on the way forgets
+// them, that request may have run: what may not be repeated then goes on one just used, or on a new one.
+std::shared_ptr<Upstream::Connection> Upstream::reuse(Server& server, bool repeatable) {
   while (!server.parked.empty()) {
     const std::shared_ptr<Connection> last = server.parked.back();
+    if (!repeatable && now() < wary_until_ && now() - last->parked_at >= kFreshIdle) return nullptr;
     server.parked.pop_back();
     parked_.erase(last->place);
     if (now() - last->parked_at < keep_idle_ && !last->stale()) return last;
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -26,6 +26,7 @@
   std::string head;  // request line and headers, but for Request-Timeout-Ms and the empty line
   std::string body;
   Claim claim;  // on the bytes of the body
+  bool repeatable = false;
 };
 
 struct AttemptEnd {
@@ -67,7 +68,7 @@
   };
 
   Server* find(const std::string& name);
-  std::shared_ptr<Connection> reuse(Server& server);
+  std::shared_ptr<Connection> reuse(Server& server, bool repeatable);
   bool make_room();
   void park(const std::shared_ptr<Connection>& connection);
   void unpark(const std::shared_ptr<Connection>& connection);
@@ -80,6 +81,7 @@
   const double connect_timeout_, keep_idle_;
   const std::size_t most_sockets_;
   std::size_t open_ = 0;
+  double wary_until_ = 0;  // kept connections have broken under their next request lately
   std::uint64_t serial_ = 0, generation_ = 0;
   std::array<char, 16 * 1024> scratch_{};  // what is read goes through here: one thread, one buffer
   std::unordered_map<std::string, Server> servers_;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -298,6 +298,37 @@
   EXPECT_TRUE(has(caller.message(), " 200 "));
 }
 
+// A kept connection that breaks under its next request costs what may not be repeated its answer. Once that
+// has been seen, such requests go on connections that were just used, or on new ones.
+TEST(Node, KeepsUnsafeRequestsOffConnectionsThatGoStale) {
+  World w;
+  w.serve(host("s0", w.servers[0].port()));
+  Wire caller = w.client();
+  const auto served = [&](Wire& server) {
+    EXPECT_TRUE(has(server.message(), "question"));
+    server.send(ok());
+    EXPECT_TRUE(has(caller.message(), " 200 "));
+  };
+  caller.send(request("close"));
+  Wire first = w.servers[0].accept();
+  served(first);
+  EXPECT_TRUE(first.quiet(150)) << "idle for a while";
+  caller.send(request("close"));
+  first.message();
+  first.reset();
+  EXPECT_TRUE(has(caller.message(), "HTTP/1.1 502 "));
+  caller.send(request("close"));
+  Wire second = w.servers[0].accept();
+  served(second);
+  EXPECT_TRUE(second.quiet(150));
+  caller.send(request("close"));
+  Wire third = w.servers[0].accept();
+  served(third);
+  EXPECT_TRUE(third.quiet(150));
+  caller.send(request("mark"));  // may be repeated: goes on a kept one
+  served(third);
+}
+
 TEST(Node, ClosesIdleConnectionsBeforeTheServersDo) {
   World w;
   w.idle_close = 4;
