--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -23,13 +23,15 @@
 using boost::system::error_code;
 using quinceusher::Outcome;
 
-constexpr std::size_t kBodyLimit = 64 * 1024;  // bytes, as the protocol has it
-constexpr std::size_t kHeadLimit = 16 * 1024;  // bytes, of an answer's head and of a chunk's
-constexpr double kFreshIdle = 0.1;             // s; a connection idle for less has hardly ever gone stale
-constexpr double kStaleReset = 0.02;           // s; a kept connection that breaks so soon was stale
-constexpr double kWary = 10;                   // s after such a one
-constexpr int kMostInterim = 8;                // answers 1xx ahead of the final one
-constexpr double kKeepIdle = 0.9;              // of the servers' idle time; what is older is closed, not used
+// The protocol's 64 KiB are not what servers keep to: whole answers of 130 to 390 KB were seen on days of
+// service. An answer over this limit is taken for spoilt.
+constexpr std::size_t kBodyLimit = 1024 * 1024;  // bytes
+constexpr std::size_t kHeadLimit = 16 * 1024;    // bytes, of an answer's head and of a chunk's
+constexpr double kFreshIdle = 0.1;               // s; a connection idle for less has hardly ever gone stale
+constexpr double kStaleReset = 0.02;             // s; a kept connection that breaks so soon was stale
+constexpr double kWary = 10;                     // s after such a one
+constexpr int kMostInterim = 8;                  // answers 1xx ahead of the final one
+constexpr double kKeepIdle = 0.9;  // of the servers' idle time; what is older is closed, not used
 
 std::chrono::nanoseconds duration(double seconds) {
   return std::chrono::nanoseconds(static_cast<std::int64_t>(std::max(0.0, seconds) * 1e9));
