--- a/node/discovery.cpp
+++ b/node/discovery.cpp
@@ -90,14 +90,13 @@
     for (std::size_t end; !closed_ && (end = lines_.find('\n', from)) != std::string::npos; from = end + 1) {
       const std::string_view line(lines_.data() + from, end - from);
       if (line.find_first_not_of(" \t\r") == std::string_view::npos) continue;
-      ServerList list;
+      // Guards against a list that can't be read or taken over: it must not leave this watch without a wait.
       try {
-        list = read_list(line, owner_.config_.zones);
+        owner_.came(this, read_list(line, owner_.config_.zones));
       } catch (const std::exception& problem) {
         owner_.seq_.reset();  // the whole list next time, or the same line would come for ever
         return fail(std::string("watch: ") + problem.what());
       }
-      owner_.came(this, std::move(list));
     }
     if (closed_) return;
     lines_.erase(0, from);
