--- a/node/listener.cpp
+++ b/node/listener.cpp
@@ -27,7 +27,7 @@
 constexpr double kReadLimit = 2.2;   // s for a request, from the connection's start if it is its first
 constexpr double kWriteLimit = 5;    // s for a client to take its answer
 constexpr double kEndingLimitS = 1;  // s for a client to close after its last answer
-constexpr double kYoung = 0.1;       // s in which a request that is being read is not evicted
+constexpr double kYoung = 0.25;      // s in which a new connection or a request being read is not evicted
 constexpr int kEvictionLooks = 16;   // connections looked at to find one that can go
 constexpr auto kSweepPeriod = std::chrono::milliseconds(200);
 constexpr auto kAcceptPause = std::chrono::milliseconds(20);  // after a failed accept: never a busy loop
@@ -427,16 +427,22 @@
     oldest->close();
     return true;
   }
-  for (const Order* order : {&fresh_, &idle_}) {
+  // Guards clients that have just connected and are about to send: evicted at once, they would come again,
+  // and push each other out for ever (seen: 800 connections a second).
+  const double old = now() - kYoung;
+  const auto evict = [](const Order& order, double before) {
     int looks = 0;  // one with a request that is not read yet must not protect those behind it
-    for (auto it = order->begin(); it != order->end() && looks < kEvictionLooks; ++looks) {
+    for (auto it = order.begin(); it != order.end() && looks < kEvictionLooks; ++looks) {
       const std::shared_ptr<Connection> next = *it++;
+      if (next->since() > before) break;
       if (next->close_if_idle()) return true;
     }
-  }
-  if (reading_.empty()) return false;
+    return false;
+  };
+  if (evict(fresh_, old) || evict(idle_, now())) return true;
+  if (reading_.empty()) return evict(fresh_, now());
   const std::shared_ptr<Connection> slowest = reading_.front();
-  return slowest->close_if_slow(kYoung);
+  return slowest->close_if_slow(kYoung) || evict(fresh_, now());
 }
 
 void Listener::sweep() {
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -779,6 +779,29 @@
   EXPECT_TRUE(has(caller.message(), " 200 "));
 }
 
+// Clients that have just connected must not push each other out while old connections are kept.
+TEST(Node, ACrowdDoesNotPushOutWhoHasJustConnected) {
+  World w;
+  w.sockets = 100;
+  w.serve(host("s0", w.servers[0].port()));
+  std::vector<Wire> kept;
+  for (int i = 0; i < 40; ++i) {
+    kept.push_back(w.client());
+    kept.back().send("GET /healthz HTTP/1.1\r\n\r\n");
+    kept.back().message();
+  }
+  Wire caller = w.client();
+  std::vector<Wire> crowd;
+  for (int i = 0; i < 10; ++i) crowd.push_back(w.client());
+  crowd.back().send("GET /healthz HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(has(crowd.back().message(), " 200 ")) << "all of the crowd are connected";
+  caller.send(request("close"));
+  Wire server = w.servers[0].accept();
+  server.message();
+  server.send(ok());
+  EXPECT_TRUE(has(caller.message(), " 200 "));
+}
+
 // Bodies that are begun and never end hold memory: past a part of the limit the node turns requests away.
 TEST(Node, HoldsNoMoreBodiesThanItsMemoryAllows) {
   World w;
