--- /dev/null
+++ b/core/engine.h
@@ -0,0 +1,151 @@
+// The decision module's host: owns the Balancer and the open requests, turns what fronts and the transport
+// tell into events and actions into attempts and answers, and keeps each request's deadline. It knows no
+// protocol.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "core/transport.h"
+#include "quinceusher/balancer.h"
+#include "util/log.h"
+
+namespace nettlestand {
+
+// The final answer to a request.
+struct Reply {
+  enum class Kind {
+    kServed,    // `cargo` is the answer
+    kRefused,   // nothing has run: trying again is harmless
+    kFailed,    // nothing is promised
+    kTimedOut,  // failed, as its time was up
+    kShutDown   // failed, as the node ends
+  };
+  Kind kind = Kind::kFailed;
+  double retry_after = 0;  // s, of a refusal; 0: no advice
+  std::unique_ptr<Cargo> cargo;
+};
+
+// Who is owed an answer: a front's side of one request. The core holds it until it has answered.
+class Caller {
+ public:
+  // Exactly once, perhaps before submit() returns, unless gone() comes first. Must not throw.
+  virtual void answered(Reply&& reply) = 0;
+
+ protected:
+  ~Caller() = default;
+};
+
+// A caller's request, read and found to be sound.
+struct Call {
+  quinceusher::Request facts;  // id and time_left are the engine's to fill in
+  std::shared_ptr<const Cargo> cargo;
+  std::string client_id;  // what the client calls it
+  double came_at = 0;     // on the steady clock
+  double timeout = 0;     // s, from when the client sent it
+};
+
+struct EngineOptions {
+  quinceusher::Settings settings;
+  std::uint64_t seed = 0;
+  std::size_t most_servers = 8192;  // that may be listed, ready or leaving
+  std::optional<ServerList> known;  // the servers as last known
+};
+
+// Everything on the thread of the one event loop.
+class Engine final : private Transport::Sink {
+ public:
+  // `watch` asks discovery for its lists. Throws std::invalid_argument for settings that the module can't
+  // use.
+  Engine(boost::asio::io_context& io, EngineOptions options, Transport& transport, Log log,
+         std::function<void()> watch);
+
+  void start();
+
+  // Takes a request.
+  std::uint64_t submit(Call call, std::shared_ptr<Caller> caller);
+
+  // Whether a request with this client's id is open, or has attempts out.
+  bool knows(const std::string& client_id) const { return client_ids_.contains(client_id); }
+
+  // The client has gone away: nothing more is owed.
+  void gone(std::uint64_t request);
+
+  // Answers everything that is open, as for a deadline that has come.
+  void expire_all();
+  // The end: answers everything that is open as shut down, and handles nothing more.
+  void shut();
+
+  // For what a front itself has to turn away, unsent.
+  Reply refusal() const;
+
+  // Throws std::length_error, and changes nothing, for a list that would make the servers too many.
+  void list_came(const ServerList& list);
+  void watch_failed();
+
+  // Whether requests can be served: there is a server to send to, and discovery has been heard or asked.
+  bool ready() const { return asked_ && servers_known_; }
+  std::size_t open() const { return open_; }  // requests that have no answer yet
+
+ private:
+  struct Try {
+    double sent_at = 0;
+    bool open = true, may_have_run = true;
+  };
+  struct Live {
+    Live(boost::asio::io_context& io, Call&& taken, std::shared_ptr<Caller>&& from)
+        : call(std::move(taken)), caller(std::move(from)), deadline(io) {}
+    Call call;
+    std::shared_ptr<Caller> caller;  // none once the request has its final answer
+    boost::asio::steady_timer deadline;
+    std::vector<Try> tries;
+  };
+  using LiveMap = std::unordered_map<std::uint64_t, Live>;
+
+  void ended(const AttemptId& attempt, quinceusher::Outcome outcome, std::unique_ptr<Cargo> answer) override;
+  void arriving(const AttemptId& attempt, const Progress& progress) override;
+
+  void take(const ServerList& list);
+  void count(const ServerList& list);
+  void post(quinceusher::Event event);
+  void run(const quinceusher::Send& action);
+  void run(const quinceusher::Refuse& action);
+  void run(const quinceusher::Fail& action);
+  void run(const quinceusher::Cancel& action);
+  void run(const quinceusher::Extend& action);
+  void run(const quinceusher::SetTimer& action);
+  void run(const quinceusher::WatchMembers& action);
+  void run(const quinceusher::LogLine& action);
+  Live* find(std::uint64_t request);
+  void expire(std::uint64_t request, Reply::Kind kind);
+  bool answer(Live& live, Reply&& reply);
+  void forget_if_done(std::uint64_t request);
+
+  boost::asio::io_context& io_;
+  const EngineOptions options_;
+  quinceusher::Balancer balancer_;
+  Transport& transport_;
+  const Log log_;
+  const std::function<void()> watch_;
+  LiveMap live_;
+  std::unordered_set<std::string> client_ids_;  // of all that is in live_
+  std::unordered_set<std::string> listed_;      // the names of all servers, ready or leaving
+  std::deque<quinceusher::Event> events_;
+  std::uint64_t last_timer_ = 0;
+  std::unordered_map<std::uint64_t, boost::asio::steady_timer> timers_;
+  bool running_ = false, shut_ = false;
+  std::uint64_t last_id_ = 0;
+  std::size_t open_ = 0;
+  bool asked_ = false, servers_known_ = false;
+};
+
+}  // namespace nettlestand
--- /dev/null
+++ b/daemon/config.cpp
@@ -0,0 +1,118 @@
+#include "daemon/config.h"
+
+#include <charconv>
+#include <set>
+#include <stdexcept>
+
+#include "discovery/lists.h"
+#include "json/read.h"
+
+namespace nettlestand {
+namespace {
+
+namespace json = quinceusher::json;
+using json::Json;
+
+constexpr std::size_t kLongestName = 128;  // bytes of a class's, tenant's or zone's name
+
+// Names that a header can hold, each once: which of two of one name is meant could not be told.
+std::vector<std::string> read_names(const Json& in, const char* field) {
+  std::vector<std::string> out;
+  std::set<std::string_view> seen;
+  for (const Json& item : in.GetArray()) {
+    const std::string_view name = json::text(item, "name");
+    if (name.empty() || name.size() > kLongestName) json::wrong(field, "a name of 1 to 128 bytes");
+    if (!seen.insert(name).second) json::wrong(field, "a name that stands there once");
+    out.emplace_back(name);
+  }
+  return out;
+}
+
+void check_length(std::size_t length, const char* field, std::size_t least, std::size_t most) {
+  if (length >= least && length <= most) return;
+  json::wrong(field, ("a list of " + std::to_string(least) + " to " + std::to_string(most)).c_str());
+}
+
+// Guards the clocks and timers: a time of nothing, or one that no clock can count, is waited for in a busy
+// loop or is over at once. No service comes near these ranges' ends.
+void check_settings(const quinceusher::Settings& s) {
+  constexpr double kShortest = 0.001, kHour = 3600, kDay = 86400;  // s
+  json::check(s.copy_count, "peersTotal", 1, 100000);
+  json::check(s.copy_index, "position", 0, s.copy_count - 1);
+  json::check(s.tier, "stage", 0, 1000);
+  json::check(s.zone, "zone", 0, 1000);
+  json::check(s.tick, "granularity", 0, 60);
+  json::check(s.over_share_worth, "overShareWorth", 0, 1);
+  json::check(s.max_attempts, "bounds.maxAttempts", 1, 1000);
+  json::check(s.max_retry_after, "bounds.maxRetryAfter", 0, kHour);
+  if (s.ask_within != 0) json::check(s.ask_within, "rules.askWithin", 0.05, kDay);
+  json::check(s.start_capacity, "rules.startCapacity", 0, 1);
+  json::check(s.ramp_time, "rules.rampTime", 0, kDay);
+  json::check(s.cross_zone_price, "fees.crossZone", 0, 1e6);
+  check_length(s.classes.size(), "categories", 1, 100);
+  for (const quinceusher::RequestClass& c : s.classes) {
+    json::check(c.aim, "categories[].aim", 1e-6, kHour);
+    json::check(c.aim_stretch, "categories[].aimStretch", 0, 1e6);
+    json::check(c.give_up, "categories[].giveUp", kShortest, kHour);
+    json::check(c.late_worth, "categories[].lateWorth", 0, 1);
+    json::check(c.dedup_window, "categories[].dedupWindow", 0, kDay);
+  }
+  check_length(s.tenants.size(), "realms", 0, 1000);
+  for (const quinceusher::Tenant& t : s.tenants) {
+    json::check(t.allowance.value_or(0), "realms[].allowancePerS", 0, 1e9);
+  }
+}
+
+std::uint64_t read_seed(std::string_view text) {
+  std::uint64_t out = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out, 16);
+  if (error != std::errc() || end != text.data() + text.size()) json::wrong("seed", "a hexadecimal number");
+  return out;
+}
+
+}  // namespace
+
+Config read_config(const std::string& text) {
+  const rapidjson::Document in = json::parse(text);
+  Config out;
+  out.name = json::text(in, "name");
+  out.listen = read_endpoint(json::text(in, "listen"));
+  out.discovery = read_endpoint(json::text(in, "discovery"));
+  out.seed = read_seed(json::text(in, "seed"));
+  if (const Json* limits = json::find(in, "limits")) {
+    const int sockets = json::whole_or(*limits, "sockets", 1024);
+    json::check(sockets, "limits.sockets", 64, 2147483647);
+    out.sockets = static_cast<std::size_t>(sockets);
+    const double memory = json::number_or(*limits, "memory_mb", 64);
+    json::check(memory, "limits.memory_mb", 16, 1e6);
+    out.memory_mb = static_cast<std::size_t>(memory);
+  }
+  const Json& settings = json::need(in, "settings");
+  out.settings = json::read_settings(settings);
+  check_settings(out.settings);
+  out.classes = read_names(json::array(settings, "categories"), "categories[].name");
+  if (json::find(settings, "realms") != nullptr) {
+    out.tenants = read_names(json::array(settings, "realms"), "realms[].name");
+  }
+  if (json::find(settings, "azs") != nullptr) {
+    check_length(json::array(settings, "azs").Size(), "azs", 0, 1000);
+    for (const Json& zone : json::array(settings, "azs").GetArray()) {
+      if (!zone.IsString() || zone.GetStringLength() > kLongestName) {
+        json::wrong("azs", "an array of names of at most 128 bytes");
+      }
+      out.zones.emplace_back(zone.GetString(), zone.GetStringLength());
+    }
+  }
+  const Json& bounds = json::need(settings, "bounds");
+  out.connect_timeout = json::number_or(bounds, "dialTimeout", out.connect_timeout);
+  out.idle_close = json::number_or(bounds, "idleClose", out.idle_close);
+  json::check(out.connect_timeout, "bounds.dialTimeout", 0.001, 600);
+  json::check(out.idle_close, "bounds.idleClose", 0.01, 86400);
+  if (const Json* known = json::find(in, "known")) out.known = list_of(*known, out.zones);
+  if (out.known && out.known->servers.size() > out.most_servers()) {
+    json::wrong("known", "a list of at most 128 servers for each MB of memory");
+  }
+  return out;
+}
+
+}  // namespace nettlestand
--- /dev/null
+++ b/daemon/node.cpp
@@ -0,0 +1,125 @@
+#include "daemon/node.h"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <exception>
+#include <string>
+#include <utility>
+
+#include "util/clock.h"
+
+namespace nettlestand {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t kOtherSockets = 40;  // the event loop's, standard ones, discovery, and headroom
+constexpr std::size_t kBodyPart = 3;       // of the memory, the part that bodies may take up: a third
+
+// After SIGTERM, new connections still come for up to 0.4 s, and SIGKILL no sooner than the longest deadline
+// (3 s at most) and 0.7 s after it.
+constexpr double kAcceptOn = 0.55;      // s
+constexpr double kLongestDeadline = 3;  // s
+constexpr double kMoveOn = 1.2;         // s before the longest deadline, clients are sent to the other nodes
+constexpr double kServeAlone = 0.1;     // s before the last answers, where there is no other node
+constexpr double kLastAnswers = 0.45;   // s over the longest deadline; what is open then is answered
+constexpr double kExit = 0.1;           // s after that, for answers to be written
+constexpr auto kDrainLook = std::chrono::milliseconds(20);
+
+double longest_deadline(const quinceusher::Settings& settings) {
+  double longest = 0;
+  for (const quinceusher::RequestClass& c : settings.classes) longest = std::max(longest, c.give_up);
+  return std::min(longest, kLongestDeadline);
+}
+
+// One thread runs the loop and whatever it serves: nothing on it needs a lock.
+constexpr int kUnlocked = BOOST_ASIO_CONCURRENCY_HINT_UNSAFE;
+
+}  // namespace
+
+Node::Node(const Config& config, std::function<Config()> reload, Log log)
+    : io_(kUnlocked),
+      reload_config_(std::move(reload)),
+      log_(std::move(log)),
+      sockets_(config.sockets - kOtherSockets),
+      last_answers_(longest_deadline(config.settings) + kLastAnswers),
+      alone_(config.settings.copy_count == 1),
+      discovery_(
+          io_,
+          {config.discovery, config.zones, config.seed,
+           config.known ? std::optional(config.known->seq) : std::nullopt, !config.settings.must_watch,
+           config.most_servers()},
+          {[this](const ServerList& list) { engine_.list_came(list); }, [this] { engine_.watch_failed(); }},
+          log_),
+      budget_(config.memory_mb * 1024 * 1024 / kBodyPart),
+      upstream_(io_, {config.connect_timeout, config.idle_close, sockets_ * 9 / 20}, budget_, log_),
+      engine_(io_, {config.settings, config.seed, config.most_servers(), config.known}, upstream_, log_,
+              [this] { discovery_.watch(); }),
+      listener_(io_, config.listen, Intake(config.settings, config.classes, config.tenants), engine_, budget_,
+                sockets_ * 11 / 20, log_),
+      signals_(io_, SIGTERM, SIGINT),
+      reload_(io_, SIGHUP),
+      look_(io_) {}
+
+void Node::run() {
+  log_("listening on " + listener_.address().address().to_string() + ":" +
+       std::to_string(listener_.address().port()));
+  engine_.start();
+  signals_.async_wait([this](const boost::system::error_code& error, int) {
+    if (!error) drain();
+  });
+  await_reload();
+  while (!io_.stopped()) {
+    try {
+      io_.run();
+    } catch (const std::exception& surprise) {  // one connection's trouble must not end the others
+      log_(std::string("surprise: ") + surprise.what());
+    }
+  }
+}
+
+// Guards the running node against its next configuration: what can't be read or used changes nothing. Only
+// discovery's address is taken over; the rest holds until the next start.
+void Node::await_reload() {
+  reload_.async_wait([this](const boost::system::error_code& error, int) {
+    if (error) return;
+    await_reload();
+    try {
+      discovery_.move(reload_config_().discovery);
+    } catch (const std::exception& problem) {
+      log_(std::string("the configuration stays as it was: ") + problem.what());
+    }
+  });
+}
+
+void Node::drain() {
+  log_("draining");
+  drain_began_ = now();
+  listener_.drain();
+  look();
+}
+
+void Node::look() {
+  const double since = now() - drain_began_;
+  if (since >= kAcceptOn) {
+    if (accepting_) listener_.stop_accepting();
+    accepting_ = false;
+  }
+  // Guards the clients of a node that restarts alone: where there is no other to go to, closing their
+  // connections at the signal leaves them without service for seconds in which this node can still serve.
+  const double served = alone_ ? last_answers_ - kServeAlone : last_answers_ - kLastAnswers - kMoveOn;
+  if (since >= std::max(kAcceptOn, served)) listener_.finish();
+  if (since >= last_answers_) engine_.expire_all();
+  if ((!accepting_ && since >= kAcceptOn + 0.1 && listener_.connections() == 0) ||
+      since >= last_answers_ + kExit) {
+    log_("drained");
+    return io_.stop();
+  }
+  look_.expires_after(kDrainLook);
+  look_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) look();
+  });
+}
+
+}  // namespace nettlestand
--- /dev/null
+++ b/daemon/node.h
@@ -0,0 +1,50 @@
+// One node: the core, its HTTP/1.1 front and transport, and discovery, on one event loop.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+
+#include "core/engine.h"
+#include "daemon/config.h"
+#include "discovery/discovery.h"
+#include "http/listener.h"
+#include "http/upstream.h"
+#include "util/budget.h"
+#include "util/log.h"
+
+namespace nettlestand {
+
+class Node {
+ public:
+  // `reload` gives the configuration as it stands after SIGHUP, or throws. Throws std::exception where the
+  // node can't start: std::invalid_argument for settings that can't be used.
+  Node(const Config& config, std::function<Config()> reload, Log log);
+
+  // Serves until SIGTERM or SIGINT has been obeyed.
+  void run();
+
+ private:
+  void await_reload();
+  void drain();
+  void look();
+
+  boost::asio::io_context io_;
+  const std::function<Config()> reload_config_;
+  const Log log_;
+  const std::size_t sockets_;
+  const double last_answers_;  // s after SIGTERM
+  const bool alone_;           // the only node before its tier
+  Discovery discovery_;
+  ByteBudget budget_;
+  Upstream upstream_;
+  Engine engine_;
+  Listener listener_;
+  boost::asio::signal_set signals_, reload_;
+  boost::asio::steady_timer look_;
+  double drain_began_ = 0;
+  bool accepting_ = true;
+};
+
+}  // namespace nettlestand
--- a/node/discovery.cpp
+++ b/discovery/discovery.cpp
@@ -1,4 +1,4 @@
-#include "node/discovery.h"
+#include "discovery/discovery.h"
 
 #include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -8,7 +8,7 @@
 #include <string>
 #include <utility>
 
-#include "node/engine.h"
+#include "discovery/lists.h"
 
 namespace nettlestand {
 namespace {
@@ -92,7 +92,7 @@
       if (line.find_first_not_of(" \t\r") == std::string_view::npos) continue;
       // Guards against a list that can't be read or taken over: it must not leave this watch without a wait.
       try {
-        owner_.came(this, read_list(line, owner_.config_.zones));
+        owner_.came(this, read_list(line, owner_.options_.zones));
       } catch (const std::exception& problem) {
         owner_.seq_.reset();  // the whole list next time, or the same line would come for ever
         return fail(std::string("watch: ") + problem.what());
@@ -100,7 +100,7 @@
     }
     if (closed_) return;
     lines_.erase(0, from);
-    if (lines_.size() > owner_.config_.most_servers() * kLineOfServer) return fail("watch: a line too long");
+    if (lines_.size() > owner_.options_.most_servers * kLineOfServer) return fail("watch: a line too long");
     if (parser_.is_done()) return fail("watch: ended");
     read();
   }
@@ -120,20 +120,29 @@
   bool closed_ = false;
 };
 
-Discovery::Discovery(boost::asio::io_context& io, const Config& config, Listeners listeners)
+Discovery::Discovery(boost::asio::io_context& io, DiscoveryOptions options, Listeners listeners, Log log)
     : io_(io),
-      config_(config),
+      options_(std::move(options)),
       listeners_(std::move(listeners)),
-      address_(config.discovery),
-      random_(static_cast<std::minstd_rand::result_type>(config.seed)),
-      again_(io) {
-  if (config.known) seq_ = config.known->seq;
-}
+      log_(std::move(log)),
+      address_(options_.address),
+      seq_(options_.seq),
+      random_(static_cast<std::minstd_rand::result_type>(options_.seed)),
+      again_(io) {}
+
+Discovery::~Discovery() { shut(); }
 
-Discovery::~Discovery() = default;
+void Discovery::shut() {
+  shut_ = true;
+  again_.cancel();
+  for (const std::shared_ptr<Watch>& watch :
+       {std::exchange(current_, nullptr), std::exchange(next_, nullptr)}) {
+    if (watch) watch->close();
+  }
+}
 
 void Discovery::watch() {
-  if (current_ || moving_) return;
+  if (current_ || moving_ || shut_) return;
   current_ = std::make_shared<Watch>(*this);
   current_->start();
 }
@@ -141,8 +150,8 @@
 // Guards the drains and the list over a move: the new address is asked at once and for the whole list, since
 // its versions need not be those of the old one, and nothing is given up before it has spoken.
 void Discovery::move(const boost::asio::ip::tcp::endpoint& address) {
-  if (address == address_) return;
-  log_line("discovery: moves to " + address.address().to_string() + ":" + std::to_string(address.port()));
+  if (address == address_ || shut_) return;
+  log_("discovery: moves to " + address.address().to_string() + ":" + std::to_string(address.port()));
   address_ = address;
   seq_.reset();
   moving_ = true;
@@ -162,8 +171,8 @@
   backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kMostBackoff);
   again_.expires_after(std::chrono::milliseconds(
       static_cast<int>(1000 * backoff_ * std::uniform_real_distribution<>(0.5, 1.0)(random_))));
-  again_.async_wait([what = std::move(what)](const error_code& error) {
-    if (!error) what();
+  again_.async_wait([this, what = std::move(what)](const error_code& error) {
+    if (!error && !shut_) what();
   });
 }
 
@@ -174,7 +183,7 @@
     current_ = std::exchange(next_, nullptr);
     moving_ = false;
   }
-  if (!well_) log_line("discovery: heard again");
+  if (!well_) log_("discovery: heard again");
   well_ = true;
   backoff_ = 0;
   if (!moving_) seq_ = list.seq;
@@ -182,7 +191,7 @@
 
 void Discovery::failed(const Watch* which, const std::string& why) {
   if (which != current_.get() && which != next_.get()) return;
-  if (well_) log_line("discovery: " + why + "; the last list is kept");
+  if (well_) log_("discovery: " + why + "; the last list is kept");
   well_ = false;
   if (which == next_.get()) {  // the module has not asked for this one: it is asked for again here
     next_.reset();
@@ -190,7 +199,7 @@
   }
   current_.reset();
   if (moving_) return;
-  if (!config_.settings.must_watch) retry([this] { watch(); });
+  if (options_.ask_again) retry([this] { watch(); });
   listeners_.failed();
 }
 
--- /dev/null
+++ b/discovery/lists.cpp
@@ -0,0 +1,78 @@
+#include "discovery/lists.h"
+
+#include <chrono>
+#include <string>
+
+#include "util/clock.h"
+#include "util/endpoint.h"
+
+namespace nettlestand {
+namespace {
+
+namespace json = quinceusher::json;
+using json::Json;
+
+constexpr std::size_t kLongestHost = 255;  // bytes of a server's name
+
+int zone_of(std::string_view name, const std::vector<std::string>& zones) {
+  for (std::size_t i = 0; i < zones.size(); ++i) {
+    if (zones[i] == name) return static_cast<int>(i);
+  }
+  return static_cast<int>(zones.size());  // none that the settings name: not this node's own
+}
+
+ListedServer read_server(const Json& in, const std::vector<std::string>& zones) {
+  ListedServer out;
+  out.facts.address = json::text(in, "host");
+  if (out.facts.address.empty() || out.facts.address.size() > kLongestHost) {
+    json::wrong("host", "a name of 1 to 255 bytes");
+  }
+  const std::string_view health = json::text(in, "health");
+  if (health == "active") {
+    out.facts.state = quinceusher::ServerState::kReady;
+  } else if (health == "leaving") {
+    out.facts.state = quinceusher::ServerState::kDraining;
+  } else if (health == "left") {
+    out.facts.state = quinceusher::ServerState::kGone;
+  } else {
+    json::wrong("health", "active, leaving or left");
+  }
+  if (out.facts.state != quinceusher::ServerState::kGone) out.dial = read_endpoint(json::text(in, "dial"));
+  if (json::find(in, "site") != nullptr) out.facts.zone = zone_of(json::text(in, "site"), zones);
+  out.facts.cell = json::whole_or(in, "block", 0);
+  out.facts.weight = json::number_or(in, "share", 1);
+  json::check(out.facts.weight, "share", 0, 1e6);
+  const double born_ms = json::number_or(in, "born_ms", 0);
+  json::check(born_ms, "born_ms", 0, 1e15);
+  out.facts.started = steady_of_unix_ms(born_ms);
+  return out;
+}
+
+}  // namespace
+
+ServerList list_of(const Json& in, const std::vector<std::string>& zones) {
+  ServerList out;
+  out.seq = json::token(in, "seq");
+  out.whole = json::flag(in, "whole");
+  for (const Json& item : json::array(in, "hosts").GetArray())
+    out.servers.push_back(read_server(item, zones));
+  return out;
+}
+
+ServerList read_list(std::string_view text, const std::vector<std::string>& zones) {
+  return list_of(json::parse(text), zones);
+}
+
+double steady_of_unix_ms(double unix_ms) {
+  static const double offset =
+      now() - std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+  return unix_ms == 0 ? 0 : unix_ms / 1000 + offset;
+}
+
+boost::asio::ip::tcp::endpoint read_endpoint(std::string_view text) {
+  const auto out = endpoint_of(text);
+  if (!out) throw json::BadMessage("'" + std::string(text) + "' is not an address and a port");
+  return *out;
+}
+
+}  // namespace nettlestand
--- a/node/intake.cpp
+++ b/http/intake.cpp
@@ -1,4 +1,4 @@
-#include "node/intake.h"
+#include "http/intake.h"
 
 #include <algorithm>
 #include <array>
@@ -73,16 +73,12 @@
   return out;
 }
 
-std::shared_ptr<Forward> forward(const Intake::Head& head) {
-  auto out = std::make_shared<Forward>();
-  out->head.append(view(head.method_string()))
-      .append(" ")
-      .append(view(head.target()))
-      .append(" HTTP/1.1\r\n");
+void forward(const Intake::Head& head, Forward& out) {
+  out.head.append(view(head.method_string())).append(" ").append(view(head.target())).append(" HTTP/1.1\r\n");
   const auto pass_on = [&](const char* name) {
     auto [it, end] = head.equal_range(name);
     if (it == end) return;
-    out->head.append(name).append(": ").append(view(it->value())).append("\r\n");
+    out.head.append(name).append(": ").append(view(it->value())).append("\r\n");
     // Guards against a header that this node reads in one way and a server in another.
     if (++it != end) throw BadRequest{400, "a header twice"};
   };
@@ -90,7 +86,6 @@
   for (const char* name : kOwn) {
     if (std::string_view(name) != "Request-Timeout-Ms") pass_on(name);
   }
-  return out;
 }
 
 }  // namespace
@@ -105,9 +100,11 @@
   return target.substr(0, target.find('?'));
 }
 
-Intake::Intake(const Config& config) : class_facts_(config.settings.classes) {
-  for (const std::string& name : config.classes) classes_.emplace(name, classes_.size());
-  for (const std::string& name : config.tenants) tenants_.emplace(name, tenants_.size());
+Intake::Intake(const quinceusher::Settings& settings, const std::vector<std::string>& classes,
+               const std::vector<std::string>& tenants)
+    : class_facts_(settings.classes) {
+  for (const std::string& name : classes) classes_.emplace(name, classes_.size());
+  for (const std::string& name : tenants) tenants_.emplace(name, tenants_.size());
 }
 
 // Guards against a second request hidden in a body. Beast 1.74 turns away a length beside "chunked", but
@@ -134,7 +131,7 @@
   if (host != end && (!is_host(view(host->value())) || ++host != end)) throw BadRequest{400, "bad Host"};
 }
 
-Call Intake::read(const Head& head) const {
+Call Intake::read(const Head& head, Forward& onward) const {
   const auto named = [&](const char* field, const auto& known) {
     const auto it = known.find(std::string(view(head[field])));
     return it == known.end() ? std::nullopt : std::optional<std::size_t>(it->second);
@@ -182,8 +179,8 @@
     if (const auto us = whole(view(head["Work-Hint"]))) out.facts.work = static_cast<double>(*us) / 1e6;
   }
   out.facts.is_repeat = head["Client-Retry"] == "1";
-  out.forward = forward(head);
-  out.forward->repeatable = facts.effect != quinceusher::Effect::kUnsafe;
+  forward(head, onward);
+  onward.repeatable = facts.effect != quinceusher::Effect::kUnsafe;
   return out;
 }
 
--- a/node/intake.h
+++ b/http/intake.h
@@ -9,8 +9,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "node/config.h"
-#include "node/engine.h"
+#include "core/engine.h"
+#include "http/cargo.h"
 
 namespace nettlestand {
 
@@ -24,7 +24,9 @@
  public:
   using Head = boost::beast::http::header<true, boost::beast::http::fields>;
 
-  explicit Intake(const Config& config);
+  // The names of the classes and tenants are in the order of the settings.
+  Intake(const quinceusher::Settings& settings, const std::vector<std::string>& classes,
+         const std::vector<std::string>& tenants);
 
   // Throws BadRequest for a head that leaves it open where its message ends.
   static void check_framing(const Head& head);
@@ -32,8 +34,9 @@
   // Throws BadRequest for a target or a Host that is none.
   static void check_address(const Head& head);
 
-  // A request to /api, but for its body and the time at which it came. Throws BadRequest.
-  Call read(const Head& head) const;
+  // A request to /api, but for its body, the time at which it came and its cargo: what goes on to the server
+  // is written to `out`. Throws BadRequest.
+  Call read(const Head& head, Forward& out) const;
 
   static std::string_view path_of(const Head& head);
 
--- a/node/listener.cpp
+++ b/http/listener.cpp
@@ -1,4 +1,4 @@
-#include "node/listener.h"
+#include "http/listener.h"
 
 #include <sys/socket.h>
 
@@ -6,11 +6,14 @@
 #include <boost/beast/http.hpp>
 #include <cstdio>
 #include <exception>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "http/answers.h"
+#include "http/reader.h"
+#include "util/clock.h"
+
 namespace nettlestand {
 namespace {
 
@@ -19,8 +22,7 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::size_t kBodyLimit = 64 * 1024;     // bytes
-constexpr std::size_t kHeadLimit = 8 * 1024;      // bytes, of a request's head and of a chunk's
+constexpr std::size_t kOtherLimit = 64 * 1024;    // bytes of a body that is not for /api
 constexpr std::size_t kEarlyLimit = 8 * 1024;     // bytes kept of a next request while one is being answered
 constexpr std::size_t kEndingLimit = 256 * 1024;  // bytes thrown away after the last answer
 constexpr double kIdleLimit = 20;                 // s without a request
@@ -32,26 +34,14 @@
 constexpr auto kSweepPeriod = std::chrono::milliseconds(200);
 constexpr auto kAcceptPause = std::chrono::milliseconds(20);  // after a failed accept: never a busy loop
 
-std::string head_of(const Answer& answer, bool close) {
-  std::string out = "HTTP/1.1 " + std::to_string(answer.status) + " ";
-  const auto reason = http::obsolete_reason(static_cast<http::status>(answer.status));
-  out.append(reason.data(), reason.size());
-  out += "\r\nContent-Length: " + std::to_string(answer.body.size()) + "\r\n";
-  if (!answer.content_type.empty()) out += "Content-Type: " + answer.content_type + "\r\n";
-  if (answer.retry_after > 0) {
-    std::array<char, 32> seconds{};
-    std::snprintf(seconds.data(), seconds.size(), "%.3f", answer.retry_after);
-    out.append("Retry-After: ").append(seconds.data()).append("\r\n");
-  }
-  if (close) out += "Connection: close\r\n";
-  return out + "\r\n";
-}
-
 }  // namespace
 
-class Listener::Connection : public std::enable_shared_from_this<Connection> {
+class Listener::Connection final : public std::enable_shared_from_this<Connection>, public Caller {
  public:
-  Connection(Listener& listener, tcp::socket socket) : listener_(listener), socket_(std::move(socket)) {
+  Connection(Listener& listener, tcp::socket socket)
+      : listener_(listener),
+        socket_(std::move(socket)),
+        reader_(listener.intake_, listener.budget_, kOtherLimit) {
     ++listener_.count_;
   }
   ~Connection() { close(); }
@@ -90,7 +80,7 @@
     enter(State::kClosed);
     error_code ignored;
     socket_.close(ignored);
-    release();
+    reader_.forget();
     if (waiting) listener_.engine_.gone(request_);
     listener_.closed();
   }
@@ -138,7 +128,7 @@
     try {
       step();
     } catch (const std::exception& problem) {
-      log_line(std::string("a caller's connection ends: ") + problem.what());
+      listener_.log_(std::string("a caller's connection ends: ") + problem.what());
       close();
     }
   }
@@ -175,125 +165,61 @@
     parse();
   }
 
-  // Not eager: an eager parser of Beast 1.74 goes on after a head whose body is over the limit, and takes the
-  // body for more of the head.
   void parse() {
-    if (!parser_) {
-      parser_.emplace();
-      parser_->body_limit(kBodyLimit);
-      parser_->header_limit(kHeadLimit);
-      head_bytes_ = 0;
-    }
-    error_code error;
-    std::size_t from = 0;
-    while (from < in_.size() && !parser_->is_done()) {
-      const bool in_head = !parser_->is_header_done();
-      const std::string_view bytes = std::string_view(in_).substr(from);
-      // Guards against a header that goes on in the next line: Beast joins them, others read them as two.
-      if (in_head && folded(bytes)) return turn_away(400);
-      const std::size_t body = parser_->get().body().size();
-      const std::size_t used = parser_->put(asio::buffer(bytes.data(), bytes.size()), error);
-      from += used;
-      std::size_t framing = used - (parser_->get().body().size() - body);
-      if (in_head) framing = head_bytes_ += framing;
-      if (error == http::error::need_more) framing += in_.size() - from;
-      // Guards against heads and chunk heads without end: Beast's own limit counts no line that is whole.
-      if (framing > kHeadLimit) return turn_away(431);
-      if (error == http::error::need_more) break;
-      if (error) {
-        const bool long_head = error == http::error::header_limit;
-        return turn_away(error == http::error::body_limit ? 413 : long_head ? 431 : 400);
-      }
-      if (in_head && parser_->is_header_done() && !head_came()) return;
-      // The last of a chunked body are its trailers, all at once.
-      if (parser_->is_done() && parser_->chunked() && folded(bytes.substr(0, used))) return turn_away(400);
-      if (!in_head && !claim_.grow_to(parser_->get().body().size(), listener_.budget_.size() / 2)) {
-        return turn_away(503);
-      }
-      if (used == 0) break;
-    }
-    in_.erase(0, from);
-    if (parser_->is_done()) return take();
-    wait_readable();
-  }
-
-  // Looks at a request as soon as its head is there: what can't be used is turned away without its body.
-  bool head_came() {
-    const Intake::Head& head = parser_->get().base();
-    keep_alive_ = parser_->get().keep_alive();
-    claim_ = Claim(listener_.budget_);
-    try {
-      Intake::check_framing(head);
-      Intake::check_address(head);
-      if (Intake::path_of(head) == "/api") {
-        call_.emplace(listener_.intake_.read(head));
+    switch (reader_.read(in_)) {
+      case RequestReader::Step::kMore:
+        return wait_readable();
+      case RequestReader::Step::kTurnedAway:
+        return turn_away(reader_.verdict());
+      case RequestReader::Step::kHead:
         // Guards against a request that runs twice, or an answer that goes to the wrong client.
-        if (listener_.engine_.knows(call_->client_id)) throw BadRequest{409, "this Request-Id is open"};
-      }
-      // Guards the memory limit: answers need room too, so requests leave half of the budget to them.
-      if (!claim_.grow_to(parser_->content_length().value_or(0), listener_.budget_.size() / 2)) {
-        throw BadRequest{503, "no memory to spare"};
-      }
-    } catch (const BadRequest& bad) {
-      turn_away(bad.status, bad.what);
-      return false;
-    }
-    if (boost::beast::iequals(head[http::field::expect], "100-continue")) {
-      static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-      error_code ignored;
-      socket_.write_some(asio::buffer(kContinue.data(), kContinue.size()), ignored);
+        if (reader_.is_call() && listener_.engine_.knows(reader_.client_id())) return turn_away(kOpenId);
+        if (reader_.expects_continue()) {
+          static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+          error_code ignored;
+          socket_.write_some(asio::buffer(kContinue.data(), kContinue.size()), ignored);
+        }
+        return parse();
+      case RequestReader::Step::kRequest:
+        return take();
     }
-    return true;
   }
 
-  void turn_away(unsigned status, const char* what = nullptr) {
-    Answer out{status, 0, {}, {}, {}};
-    if (status == 503) out = listener_.engine_.refusal();
-    if (what != nullptr) {
-      out.body = std::string(what) + "\n";
-      out.content_type = "text/plain";
-    }
-    answer(std::move(out), true);
-  }
+  void turn_away(const BadRequest& bad) { answer(answer_to(bad, listener_.engine_), true); }
 
   void take() {
-    http::request<http::string_body> request = parser_->release();
-    parser_.reset();
-    const std::string_view path = Intake::path_of(request);
-    if (path == "/healthz") {
-      head_only_ = request.method() == http::verb::head;
-      const unsigned status = request.method() != http::verb::get && !head_only_  ? 405
+    const http::verb method = reader_.request().method();
+    if (reader_.path() == "/healthz") {
+      head_only_ = method == http::verb::head;
+      const unsigned status = method != http::verb::get && !head_only_            ? 405
                               : listener_.engine_.ready() && !listener_.draining_ ? 200
                                                                                   : 503;
       return answer({status, 0, {}, {}, {}}, false);
     }
-    if (!call_) return answer({404, 0, {}, {}, {}}, false);
-    Call call = std::move(*call_);
-    call_.reset();
-    call.came_at = came_at_;
-    if (request.method() == http::verb::post) {
-      call.forward->head += "Content-Length: " + std::to_string(request.body().size()) + "\r\n";
-    } else if (!request.body().empty()) {
-      return turn_away(400, "a body where none belongs");
+    if (!reader_.is_call()) return answer({404, 0, {}, {}, {}}, false);
+    Call call;
+    try {
+      call = reader_.take_call(came_at_);
+    } catch (const BadRequest& bad) {
+      return turn_away(bad);
     }
-    call.forward->body = std::move(request.body());
-    call.forward->claim = std::exchange(claim_, {});
-    if (listener_.engine_.knows(call.client_id)) return turn_away(409, "this Request-Id is open");
-    if (listener_.crowded()) return turn_away(503);
+    reader_.forget();
+    if (listener_.engine_.knows(call.client_id)) return turn_away(kOpenId);
+    if (listener_.crowded()) return turn_away({503, nullptr});
     enter(State::kWaiting);
     request_ = 0;
     wait_readable();
-    const std::uint64_t number =
-        listener_.engine_.submit(std::move(call), [self = shared_from_this()](Answer&& final) {
-          if (self->state_ != State::kWaiting) return;
-          self->guarded([&] { self->answer(std::move(final), false); });
-        });
-    request_ = number;
+    request_ = listener_.engine_.submit(std::move(call), shared_from_this());
+  }
+
+  void answered(Reply&& reply) override {
+    if (state_ != State::kWaiting) return;
+    guarded([&] { answer(answer_to(std::move(reply)), false); });
   }
 
   void answer(Answer&& final, bool close) {
-    close_after_ = close || !keep_alive_ || listener_.finishing_;
-    release();
+    close_after_ = close || !reader_.keep_alive() || listener_.finishing_;
+    reader_.forget();
     head_ = head_of(final, close_after_);
     answer_ = std::move(final);
     if (std::exchange(head_only_, false)) answer_.body.clear();
@@ -302,11 +228,11 @@
     asio::async_write(socket_, parts, [self = shared_from_this()](const error_code& error, std::size_t) {
       if (self->state_ != State::kWriting) return;
       if (error) return self->close();
-      self->guarded([&] { self->answered(); });
+      self->guarded([&] { self->written(); });
     });
   }
 
-  void answered() {
+  void written() {
     head_.clear();
     answer_ = {};
     used_ = true;
@@ -329,17 +255,11 @@
     parse();
   }
 
-  // What is held for a request that is being read.
-  void release() {
-    parser_.reset();
-    call_.reset();
-    claim_ = {};
-  }
-
   Listener& listener_;
   tcp::socket socket_;
+  RequestReader reader_;
   State state_ = State::kNew;
-  bool listed_ = false, waiting_ = false, keep_alive_ = false, head_only_ = false, close_after_ = false;
+  bool listed_ = false, waiting_ = false, head_only_ = false, close_after_ = false;
   bool used_ = false;  // has had an answer
   Order::iterator place_;
   double since_ = 0, came_at_ = 0;
@@ -348,24 +268,22 @@
   std::size_t head_bytes_ = 0, thrown_away_ = 0;
   std::string in_, head_;
   Answer answer_;
-  Claim claim_;
-  std::optional<Call> call_;
-  std::optional<http::request_parser<http::string_body>> parser_;
 };
 
-Listener::Listener(asio::io_context& io, const Config& config, Engine& engine, ByteBudget& budget,
-                   std::size_t most_connections)
+Listener::Listener(asio::io_context& io, const tcp::endpoint& address, Intake intake, Engine& engine,
+                   ByteBudget& budget, std::size_t most_connections, Log log)
     : io_(io),
       engine_(engine),
       budget_(budget),
-      intake_(config),
+      log_(std::move(log)),
+      intake_(std::move(intake)),
       most_(most_connections),
       acceptor_(io),
       retry_(io),
       sweep_(io) {
-  acceptor_.open(config.listen.protocol());
+  acceptor_.open(address.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(config.listen);
+  acceptor_.bind(address);
   acceptor_.listen(4096);
   acceptor_.non_blocking(true);
   accept();
@@ -383,7 +301,7 @@
     if (error) return accept_later();
     for (int i = 0; i < 64; ++i) {
       if (count_ >= most_ && !make_room()) {
-        if (!full_) log_line("no room for further connections of callers");
+        if (!full_) log_("no room for further connections of callers");
         full_ = true;
         return;  // the next one that closes accepts
       }
@@ -415,7 +333,7 @@
   try {
     std::make_shared<Connection>(*this, std::move(socket))->start();
   } catch (const std::exception& problem) {
-    log_line(std::string("a caller's connection is not taken: ") + problem.what());
+    log_(std::string("a caller's connection is not taken: ") + problem.what());
   }
 }
 
--- a/node/listener.h
+++ b/http/listener.h
@@ -8,10 +8,10 @@
 #include <list>
 #include <memory>
 
-#include "node/budget.h"
-#include "node/config.h"
-#include "node/engine.h"
-#include "node/intake.h"
+#include "core/engine.h"
+#include "http/intake.h"
+#include "util/budget.h"
+#include "util/log.h"
 
 namespace nettlestand {
 
@@ -20,8 +20,8 @@
   class Connection;
 
   // Throws boost::system::system_error when the address can't be listened on.
-  Listener(boost::asio::io_context& io, const Config& config, Engine& engine, ByteBudget& budget,
-           std::size_t most_connections);
+  Listener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, Intake intake,
+           Engine& engine, ByteBudget& budget, std::size_t most_connections, Log log);
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
@@ -47,6 +47,7 @@
   boost::asio::io_context& io_;
   Engine& engine_;
   ByteBudget& budget_;
+  const Log log_;
   const Intake intake_;
   const std::size_t most_;
   std::size_t count_ = 0, busy_ = 0;  // busy: with a request that waits for its answer or gets it
--- /dev/null
+++ b/http/reader.cpp
@@ -0,0 +1,111 @@
+#include "http/reader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace nettlestand {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::size_t kBodyLimit = 64 * 1024;  // bytes, of a request for /api
+constexpr std::size_t kHeadLimit = 8 * 1024;   // bytes, of a request's head and of a chunk's
+
+}  // namespace
+
+RequestReader::Step RequestReader::turn_away(unsigned status, const char* what) {
+  verdict_ = {status, what};
+  forget();
+  return Step::kTurnedAway;
+}
+
+void RequestReader::forget() {
+  parser_.reset();
+  call_.reset();
+  forward_.reset();
+  claim_ = {};
+}
+
+// Not eager: an eager parser of Beast 1.74 goes on after a head whose body is over the limit, and takes the
+// body for more of the head.
+RequestReader::Step RequestReader::read(std::string& in) {
+  if (!parser_) {
+    parser_.emplace();
+    parser_->body_limit(std::max(kBodyLimit, other_limit_));
+    parser_->header_limit(kHeadLimit);
+    head_bytes_ = 0;
+  }
+  boost::system::error_code error;
+  std::size_t from = 0;
+  while (from < in.size() && !parser_->is_done()) {
+    const bool in_head = !parser_->is_header_done();
+    const std::string_view bytes = std::string_view(in).substr(from);
+    // Guards against a header that goes on in the next line: Beast joins them, others read them as two.
+    if (in_head && folded(bytes)) return turn_away(400);
+    const std::size_t body = parser_->get().body().size();
+    const std::size_t used = parser_->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+    from += used;
+    std::size_t framing = used - (parser_->get().body().size() - body);
+    if (in_head) framing = head_bytes_ += framing;
+    if (error == http::error::need_more) framing += in.size() - from;
+    // Guards against heads and chunk heads without end: Beast's own limit counts no line that is whole.
+    if (framing > kHeadLimit) return turn_away(431);
+    if (error == http::error::need_more) break;
+    if (error) {
+      const bool long_head = error == http::error::header_limit;
+      return turn_away(error == http::error::body_limit ? 413 : long_head ? 431 : 400);
+    }
+    if (in_head && parser_->is_header_done()) {
+      in.erase(0, from);
+      return head_came();
+    }
+    // The last of a chunked body are its trailers, all at once.
+    if (parser_->is_done() && parser_->chunked() && folded(bytes.substr(0, used))) return turn_away(400);
+    const std::size_t now = parser_->get().body().size();
+    if (now > (is_call() ? kBodyLimit : std::max(kBodyLimit, other_limit_))) return turn_away(413);
+    if (!in_head && !claim_.grow_to(now, budget_.size() / 2)) return turn_away(503);
+    if (used == 0) break;
+  }
+  in.erase(0, from);
+  return parser_->is_done() ? Step::kRequest : Step::kMore;
+}
+
+// Looks at a request as soon as its head is there: what can't be used is turned away without its body.
+RequestReader::Step RequestReader::head_came() {
+  const Intake::Head& head = parser_->get().base();
+  keep_alive_ = parser_->get().keep_alive();
+  claim_ = Claim(budget_);
+  try {
+    Intake::check_framing(head);
+    Intake::check_address(head);
+    const auto length = parser_->content_length().value_or(0);
+    if (Intake::path_of(head) == "/api") {
+      if (length > kBodyLimit) throw BadRequest{413, nullptr};
+      forward_ = std::make_shared<Forward>();
+      call_.emplace(intake_.read(head, *forward_));
+    }
+    // Guards the memory limit: answers need room too, so requests leave half of the budget to them.
+    if (!claim_.grow_to(length, budget_.size() / 2)) throw BadRequest{503, "no memory to spare"};
+  } catch (const BadRequest& bad) {
+    return turn_away(bad.status, bad.what);
+  }
+  expects_continue_ = boost::beast::iequals(head[http::field::expect], "100-continue");
+  return Step::kHead;
+}
+
+Call RequestReader::take_call(double came_at) {
+  auto& request = parser_->get();
+  if (request.method() == http::verb::post) {
+    forward_->head += "Content-Length: " + std::to_string(request.body().size()) + "\r\n";
+  } else if (!request.body().empty()) {
+    throw BadRequest{400, "a body where none belongs"};
+  }
+  forward_->body = std::move(request.body());
+  forward_->claim = std::exchange(claim_, {});
+  Call out = std::move(*call_);
+  out.came_at = came_at;
+  out.cargo = std::move(forward_);
+  return out;
+}
+
+}  // namespace nettlestand
--- /dev/null
+++ b/http/reader.h
@@ -0,0 +1,68 @@
+// Reads one connection's requests: bytes in, requests or verdicts out. No sockets and no clock. Every front
+// that takes HTTP/1.1 reads through it, so that the same bytes mean the same everywhere.
+#pragma once
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/engine.h"
+#include "http/cargo.h"
+#include "http/intake.h"
+#include "util/budget.h"
+
+namespace nettlestand {
+
+class RequestReader {
+ public:
+  enum class Step {
+    kMore,       // all that was there is taken, and more is needed
+    kHead,       // a sound head has come; read() goes on with the body
+    kRequest,    // a whole request: path(), method(), body(), call()
+    kTurnedAway  // verdict(): nothing that follows on this connection can be read
+  };
+
+  // `other_limit`: bytes of the body of a request that is not for /api.
+  RequestReader(const Intake& intake, ByteBudget& budget, std::size_t other_limit)
+      : intake_(intake), budget_(budget), other_limit_(other_limit) {}
+
+  // Takes from the front of `in` as much as belongs to the request at hand.
+  Step read(std::string& in);
+
+  // From kHead on.
+  bool is_call() const { return call_.has_value(); }
+  const std::string& client_id() const { return call_->client_id; }
+  bool expects_continue() const { return expects_continue_; }
+  bool keep_alive() const { return keep_alive_; }
+  // At kTurnedAway.
+  const BadRequest& verdict() const { return verdict_; }
+  // At kRequest. The views hold until forget().
+  const boost::beast::http::request<boost::beast::http::string_body>& request() const {
+    return parser_->get();
+  }
+  std::string_view path() const { return Intake::path_of(parser_->get()); }
+  // The request for /api, with its body; only once, and only where is_call(). Throws BadRequest.
+  Call take_call(double came_at);
+
+  // Lets go of all that is held of a request; the next one may be read.
+  void forget();
+
+ private:
+  Step head_came();
+  Step turn_away(unsigned status, const char* what = nullptr);
+
+  const Intake& intake_;
+  ByteBudget& budget_;
+  const std::size_t other_limit_;
+  std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
+  std::optional<Call> call_;
+  std::shared_ptr<Forward> forward_;
+  std::size_t head_bytes_ = 0;
+  bool keep_alive_ = false, expects_continue_ = false;
+  Claim claim_;  // on the bytes of the body
+  BadRequest verdict_{400, nullptr};
+};
+
+}  // namespace nettlestand
--- a/node/upstream.cpp
+++ b/http/upstream.cpp
@@ -1,10 +1,10 @@
-#include "node/upstream.h"
+#include "http/upstream.h"
 
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/beast/http.hpp>
-#include <chrono>
 #include <cmath>
 #include <exception>
 #include <optional>
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-#include "node/engine.h"
+#include "util/clock.h"
 
 namespace nettlestand {
 namespace {
@@ -33,10 +33,6 @@
 constexpr int kMostInterim = 8;                  // answers 1xx ahead of the final one
 constexpr double kKeepIdle = 0.9;  // of the servers' idle time; what is older is closed, not used
 
-std::chrono::nanoseconds duration(double seconds) {
-  return std::chrono::nanoseconds(static_cast<std::int64_t>(std::max(0.0, seconds) * 1e9));
-}
-
 }  // namespace
 
 // One connection and, while it carries one, the attempt on it.
@@ -54,15 +50,14 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
-  void begin(std::uint64_t serial, std::shared_ptr<const Forward> request, double timeout, Done done,
-             Arriving arriving) {
-    serial_ = serial;
+  void begin(const AttemptId& attempt, std::shared_ptr<const Forward> request, double timeout) {
+    ++serial_;
+    attempt_ = attempt;
+    carries_ = true;
     request_ = std::move(request);
     began_ = now();
     idle_ = state == State::kParked ? began_ - parked_at : 0;
     give_up_at_ = began_ + timeout;
-    done_ = std::move(done);
-    arriving_ = std::move(arriving);
     arriving_since_ = 0;
     fresh_parser();
     interim_ = 0;
@@ -94,17 +89,12 @@
     write();
   }
 
-  void stop(std::uint64_t serial, Outcome outcome) {
-    if (serial == serial_ && done_) end(outcome, false);
-  }
-
-  void extend(std::uint64_t serial, double timeout) {
-    if (serial != serial_ || !done_) return;
+  void extend(double timeout) {
     give_up_at_ = now() + timeout;
     arm_timer(give_up_at_);
   }
 
-  Handle handle() { return {weak_from_this(), serial_}; }
+  const AttemptId& attempt() const { return attempt_; }
 
   // Whether the server has closed it, or has said what nobody asked for.
   bool stale() {
@@ -115,19 +105,21 @@
 
   // Ends the attempt, if there is one, and with it the connection unless it may be kept.
   void end(Outcome outcome, bool keep) {
-    AttemptEnd result{outcome, {}, {}, {}};
+    std::unique_ptr<WholeAnswer> answer;
     if (outcome == Outcome::kReset && idle_ >= kFreshIdle && now() - began_ < kStaleReset) {
       pool_.wary_until_ = now() + kWary;
     }
     if (outcome == Outcome::kDelivered) {
-      result.content_type = std::move(content_type_);
-      result.body = std::move(parser_->get().body());
-      result.claim = std::exchange(claim_, {});
+      answer = std::make_unique<WholeAnswer>();
+      answer->content_type = std::move(content_type_);
+      answer->body = std::move(parser_->get().body());
+      answer->claim = std::exchange(claim_, {});
     }
     claim_ = {};
     timer_.cancel();
-    const Done done = std::exchange(done_, nullptr);
-    arriving_ = nullptr;
+    const bool carried = std::exchange(carries_, false);
+    const AttemptId attempt = attempt_;
+    const auto self = shared_from_this();
     parser_.reset();
     request_.reset();
     std::string().swap(out_);
@@ -137,7 +129,7 @@
     } else {
       close();
     }
-    if (done) done(std::move(result));
+    if (carried) pool_.ended(attempt, outcome, std::move(answer));
   }
 
   void close() {
@@ -158,7 +150,7 @@
     try {
       step();
     } catch (const std::exception& problem) {
-      log_line("a connection to " + server + " ends: " + problem.what());
+      pool_.log_("a connection to " + server + " ends: " + problem.what());
       end(state == State::kReading ? Outcome::kUnknown : Outcome::kDialFailed, false);
     }
   }
@@ -166,7 +158,7 @@
   void arm_timer(double at) {
     timer_.expires_after(duration(at - now()));
     timer_.async_wait([self = shared_from_this(), serial = serial_](const error_code& error) {
-      if (!error && serial == self->serial_ && self->done_) self->expire();
+      if (!error && serial == self->serial_ && self->carries_) self->expire();
     });
   }
 
@@ -177,18 +169,18 @@
     if (state == State::kReading) {
       const std::uint64_t serial = serial_;
       tell_progress();
-      if (serial != serial_ || !done_ || now() < give_up_at_) return;
+      if (serial != serial_ || !carries_ || now() < give_up_at_) return;
     }
     end(state == State::kReading ? Outcome::kTimedOut : Outcome::kDialFailed, false);
   }
 
   void tell_progress() {
-    const Arriving tell = arriving_;  // it may end this attempt
-    if (!tell) return;
-    if (arriving_since_ == 0) return tell({-1, 0, 0, 0});
+    // It may end this attempt.
+    if (arriving_since_ == 0) return pool_.sink_->arriving(attempt_, {-1, 0, 0, 0});
     const auto length = parser_->content_length();
-    tell({now() - arriving_since_, now() - last_byte_at_, static_cast<double>(parser_->get().body().size()),
-          length ? static_cast<double>(*length) : 0});
+    pool_.sink_->arriving(attempt_, {now() - arriving_since_, now() - last_byte_at_,
+                                     static_cast<double>(parser_->get().body().size()),
+                                     length ? static_cast<double>(*length) : 0});
   }
 
   // The writing is done here and not by a composed operation, which would tell of the last byte only later:
@@ -344,12 +336,12 @@
   std::size_t written_ = 0, head_bytes_ = 0;
   int interim_ = 0;
   Claim claim_;
-  std::uint64_t serial_ = 0;
+  std::uint64_t serial_ = 0;  // of what it carries
+  AttemptId attempt_;
+  bool carries_ = false;
   std::shared_ptr<const Forward> request_;
   double began_ = 0, idle_ = 0, give_up_at_ = 0;
   double arriving_since_ = 0, last_byte_at_ = 0;  // since: the answer's head is there; 0: it is not
-  Done done_;
-  Arriving arriving_;
   std::optional<http::response_parser<http::string_body>> parser_;
   // As the answer's head has it.
   Outcome told_ = Outcome::kUnknown;
@@ -357,51 +349,75 @@
   std::string content_type_;
 };
 
-Upstream::Upstream(asio::io_context& io, const Config& config, ByteBudget& budget, std::size_t most_sockets)
+Upstream::Upstream(asio::io_context& io, const UpstreamOptions& options, ByteBudget& budget, Log log)
     : io_(io),
       budget_(budget),
-      connect_timeout_(config.connect_timeout),
-      keep_idle_(config.idle_close * kKeepIdle),
-      most_sockets_(most_sockets),
+      log_(std::move(log)),
+      connect_timeout_(options.connect_timeout),
+      keep_idle_(options.idle_close * kKeepIdle),
+      most_sockets_(options.most_sockets),
       sweep_(io) {
   close_old();
 }
 
+Upstream::~Upstream() { shut(); }
+
+// What is out on connections ends with them: their handlers find them closed and look at nothing else.
+void Upstream::shut() {
+  *alive_ = false;
+  sweep_.cancel();
+  for (const auto& [attempt, connection] : std::exchange(attempts_, {})) connection->close();
+  for (const std::shared_ptr<Connection>& connection : std::exchange(parked_, {})) connection->close();
+  servers_.clear();
+}
+
 Upstream::Server* Upstream::find(const std::string& name) {
   const auto it = servers_.find(name);
   return it == servers_.end() ? nullptr : &it->second;
 }
 
-Upstream::Handle Upstream::start(const std::string& server, std::shared_ptr<const Forward> request,
-                                 double timeout, Done done, Arriving arriving) {
+Upstream::Connection* Upstream::on(const AttemptId& attempt) const {
+  const auto it = attempts_.find(attempt);
+  return it == attempts_.end() ? nullptr : it->second.get();
+}
+
+void Upstream::ended(const AttemptId& attempt, Outcome outcome, std::unique_ptr<Cargo> answer) {
+  attempts_.erase(attempt);
+  if (!starting_) return sink_->ended(attempt, outcome, std::move(answer));
+  asio::post(io_, [this, alive = alive_, attempt, outcome] {  // nothing is delivered inside start()
+    if (*alive) sink_->ended(attempt, outcome, nullptr);
+  });
+}
+
+void Upstream::start(const AttemptId& attempt, const std::string& server,
+                     std::shared_ptr<const Cargo> request, double timeout) {
+  struct Starting {
+    explicit Starting(bool& flag) : flag(flag) { flag = true; }
+    ~Starting() { flag = false; }
+    bool& flag;
+  } const starting(starting_);
+  auto forward = std::static_pointer_cast<const Forward>(std::move(request));
   Server* known = find(server);
-  if (known == nullptr || timeout <= 0) {
-    done({Outcome::kNotSent, {}, {}, {}});
-    return {};
-  }
-  const std::uint64_t serial = ++serial_;
-  if (const std::shared_ptr<Connection> old = reuse(*known, request->repeatable)) {
-    old->begin(serial, std::move(request), timeout, std::move(done), std::move(arriving));
-    old->start_writing();
-    return {old, serial};
-  }
-  if (!make_room()) {
-    done({Outcome::kNotSent, {}, {}, {}});
-    return {};
+  if (known == nullptr || timeout <= 0) return ended(attempt, Outcome::kNotSent, nullptr);
+  if (const std::shared_ptr<Connection> old = reuse(*known, forward->repeatable)) {
+    attempts_.emplace(attempt, old);
+    old->begin(attempt, std::move(forward), timeout);
+    return old->start_writing();
   }
+  if (!make_room()) return ended(attempt, Outcome::kNotSent, nullptr);
   const auto fresh = std::make_shared<Connection>(*this, server, known->generation);
-  fresh->begin(serial, std::move(request), timeout, std::move(done), std::move(arriving));
+  attempts_.emplace(attempt, fresh);
+  fresh->begin(attempt, std::move(forward), timeout);
   known->connecting.insert(fresh);
   fresh->connect(known->dial);
-  return {fresh, serial};
 }
 
-void Upstream::extend(const Handle& attempt, double timeout) {
-  if (const auto connection = attempt.connection.lock()) connection->extend(attempt.serial, timeout);
+void Upstream::extend(const AttemptId& attempt, double timeout) {
+  if (Connection* connection = on(attempt)) connection->extend(timeout);
 }
 
-void Upstream::stop(const Handle& attempt, Outcome outcome) {
-  if (const auto connection = attempt.connection.lock()) connection->stop(attempt.serial, outcome);
+void Upstream::stop(const AttemptId& attempt, Outcome outcome) {
+  if (Connection* connection = on(attempt)) connection->end(outcome, false);
 }
 
 // The most recently used, so that the others can idle out. Guards against writing on a connection that the
@@ -465,13 +481,13 @@
   });
 }
 
-void Upstream::stop_connecting(const Server& server, std::vector<Handle>& stopped) {
-  for (const std::shared_ptr<Connection>& waiting : server.connecting) stopped.push_back(waiting->handle());
+void Upstream::stop_connecting(const Server& server, std::vector<AttemptId>& stopped) {
+  for (const std::shared_ptr<Connection>& waiting : server.connecting) stopped.push_back(waiting->attempt());
 }
 
-std::vector<Upstream::Handle> Upstream::apply(const ServerList& list) {
+std::vector<AttemptId> Upstream::apply(const ServerList& list) {
   std::vector<std::string> gone;
-  std::vector<Handle> stopped;
+  std::vector<AttemptId> stopped;
   if (list.whole) {
     std::unordered_set<std::string> named;
     for (const ListedServer& told : list.servers) named.insert(told.facts.address);
--- /dev/null
+++ b/http/upstream.h
@@ -0,0 +1,91 @@
+// HTTP/1.1 to servers: a keep-alive pool for each of them, and the outcome of each attempt.
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "core/transport.h"
+#include "http/cargo.h"
+#include "quinceusher/balancer.h"
+#include "util/budget.h"
+#include "util/log.h"
+
+namespace nettlestand {
+
+struct UpstreamOptions {
+  double connect_timeout = 0.25;  // s
+  double idle_close = 5;          // s; servers close connections idle for so long
+  std::size_t most_sockets = 460;
+};
+
+// Carries Forwards to servers and WholeAnswers back. Everything on the thread of the one event loop.
+class Upstream final : public Transport {
+ public:
+  class Connection;
+
+  Upstream(boost::asio::io_context& io, const UpstreamOptions& options, ByteBudget& budget, Log log);
+  ~Upstream() override;
+
+  void attach(Sink& sink) override { sink_ = &sink; }
+  void start(const AttemptId& attempt, const std::string& server, std::shared_ptr<const Cargo> request,
+             double timeout) override;
+  void extend(const AttemptId& attempt, double timeout) override;
+  void stop(const AttemptId& attempt, quinceusher::Outcome outcome) override;
+  std::vector<AttemptId> apply(const ServerList& list) override;
+  std::size_t servers() const override { return servers_.size(); }
+  void shut() override;
+
+ private:
+  struct Server {
+    boost::asio::ip::tcp::endpoint dial;
+    double started = 0;
+    std::uint64_t generation = 0;                    // new with each process or address
+    std::deque<std::shared_ptr<Connection>> parked;  // the most recently used at the back
+    std::unordered_set<std::shared_ptr<Connection>> connecting;
+  };
+
+  Server* find(const std::string& name);
+  std::shared_ptr<Connection> reuse(Server& server, bool repeatable);
+  Connection* on(const AttemptId& attempt) const;
+  void ended(const AttemptId& attempt, quinceusher::Outcome outcome, std::unique_ptr<Cargo> answer);
+  bool make_room();
+  void park(const std::shared_ptr<Connection>& connection);
+  void unpark(const std::shared_ptr<Connection>& connection);
+  void close_parked(Server& server);
+  void close_old();
+  static void stop_connecting(const Server& server, std::vector<AttemptId>& stopped);
+
+  boost::asio::io_context& io_;
+  ByteBudget& budget_;
+  const Log log_;
+  Sink* sink_ = nullptr;
+  const double connect_timeout_, keep_idle_;  // s
+  const std::size_t most_sockets_;
+  std::size_t open_ = 0;
+  double wary_until_ = 0;  // kept connections have broken under their next request lately
+  bool starting_ = false;  // inside start(): outcomes are told later
+  std::uint64_t generation_ = 0;
+  struct HashOfAttempt {
+    std::size_t operator()(const AttemptId& id) const {
+      return std::hash<std::uint64_t>()(id.request * 1024 + static_cast<std::uint64_t>(id.attempt));
+    }
+  };
+  std::unordered_map<AttemptId, std::shared_ptr<Connection>, HashOfAttempt> attempts_;  // that are out
+  std::array<char, 16 * 1024> scratch_{};  // what is read goes through here: one thread, one buffer
+  std::unordered_map<std::string, Server> servers_;
+  std::list<std::shared_ptr<Connection>> parked_;  // all of them, the longest idle first
+  boost::asio::steady_timer sweep_;
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace nettlestand
--- a/json/read.cpp
+++ b/json/read.cpp
@@ -1,7 +1,28 @@
 #include "json/read.h"
 
+#include <cstdio>
+
+#include "rapidjson/error/en.h"
+
 namespace quinceusher::json {
 
+rapidjson::Document parse(std::string_view text) {
+  rapidjson::Document out;
+  out.Parse<rapidjson::kParseIterativeFlag>(text.data(), text.size());
+  if (out.HasParseError()) {
+    throw BadMessage(std::string("not valid JSON: ") + rapidjson::GetParseError_En(out.GetParseError()) +
+                     " at byte " + std::to_string(out.GetErrorOffset()));
+  }
+  return out;
+}
+
+void check(double value, const char* field, double least, double most) {
+  if (value >= least && value <= most) return;
+  char wanted[64];
+  std::snprintf(wanted, sizeof wanted, "from %.10g to %.10g", least, most);
+  wrong(field, wanted);
+}
+
 void wrong(const char* field, const char* wanted) {
   throw BadMessage(std::string("field '") + field + "' is not " + wanted);
 }
--- a/json/read.h
+++ b/json/read.h
@@ -18,6 +18,10 @@
   using std::runtime_error::runtime_error;
 };
 
+// Throws BadMessage for what is no JSON. The depth of what is written is not the depth of this stack.
+rapidjson::Document parse(std::string_view text);
+// Throws BadMessage where the value lies outside of these bounds.
+void check(double value, const char* field, double least, double most);
 [[noreturn]] void wrong(const char* field, const char* wanted);
 const Json* find(const Json& object, const char* field);  // null where it is absent or null
 const Json& need(const Json& object, const char* field);
