--- a/daemon/config.h
+++ b/daemon/config.h
@@ -1,4 +1,4 @@
-// What the platform tells a node at its start.
+// What a node is told at its start, and what the platform tells.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -9,20 +9,24 @@
 #include <vector>
 
 #include "core/members.h"
+#include "http/listener.h"
 #include "quinceusher/balancer.h"
 
 namespace nettlestand {
 
 struct Config {
   std::string name;
-  boost::asio::ip::tcp::endpoint listen, discovery;
+  boost::asio::ip::tcp::endpoint listen;
+  std::optional<boost::asio::ip::tcp::endpoint> discovery;  // none: the servers are those of `servers`
   std::uint64_t seed = 0;
   std::size_t sockets = 1024, memory_mb = 64;
   quinceusher::Settings settings;
   std::vector<std::string> classes, tenants, zones;  // their names, in the order of the settings
   double connect_timeout = 0.25;                     // s
   double idle_close = 5;                             // s; servers close connections idle for so long
-  std::optional<ServerList> known;
+  std::optional<ServerList> known;                   // discovery's list as it was last known
+  std::optional<ServerList> servers;                 // all there are, where there is no discovery
+  ListenerLimits listener;
 
   // So many servers may be listed, ready or leaving: each takes 1.4 KB, or twice that with a long name.
   std::size_t most_servers() const { return memory_mb * 128; }
--- /dev/null
+++ b/daemon/demo.cpp
@@ -0,0 +1,213 @@
+#include "daemon/demo.h"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <functional>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "standins/standins.h"
+
+namespace nettlestand {
+namespace {
+
+namespace si = standins;
+
+constexpr double kRate = 300;                          // calls/s
+constexpr double kAim = 0.25, kTimeout = 1;            // s
+constexpr double kWork = 0.01;                         // s of a server's core for a call, in the mean
+constexpr double kRampTime = 4, kStartCapacity = 0.3;  // s; a cold server's part of its capacity
+
+const std::vector<si::CheckedClass>& checked_classes() {
+  using Effect = si::CheckedClass::Effect;
+  static const std::vector<si::CheckedClass> all = {
+      {"lookup", Effect::kSafe, si::CheckedClass::Group::kAll, 0},
+      {"submit", Effect::kKeyed, si::CheckedClass::Group::kAll, 4},
+      {"test-close", Effect::kUnsafe, si::CheckedClass::Group::kAll, 0}};
+  return all;
+}
+
+struct Second {
+  int served = 0, refused = 0, failed = 0, attempts = 0;
+  std::vector<double> times;  // s, of the served
+};
+
+double quantile(std::vector<double>& times, double part) {
+  if (times.empty()) return 0;
+  const auto at = times.begin() + static_cast<std::ptrdiff_t>(part * static_cast<double>(times.size() - 1));
+  std::nth_element(times.begin(), at, times.end());
+  return *at;
+}
+
+class Demo {
+ public:
+  Demo(const std::string& binary, double seconds) : seconds_(seconds) {
+    si::NodeConfig config;
+    config.discovery = discovery_.endpoint(config.name);
+    config.classes = {{"lookup", "safe", "all", 0, kAim, kTimeout, 0.5},
+                      {"submit", "keyed", "all", 4, kAim, kTimeout, 0.5},
+                      {"test-close", "unsafe", "all", 0, kAim, kTimeout, 0.5}};
+    config.tenants = {{"centre", 1000}};
+    config.start_capacity = kStartCapacity;
+    config.ramp_time = kRampTime;
+    for (int i = 0; i < 3; ++i) {
+      si::ServerSettings settings;
+      settings.name = "s" + std::to_string(i);
+      settings.cores = 4;
+      settings.service = kWork;
+      settings.exponential = true;
+      settings.seed = static_cast<std::uint64_t>(i) + 1;
+      settings.recorder = &recorder_;
+      servers_.push_back(std::make_unique<si::ScriptedServer>(thread_.loop(), settings));
+      listings_.push_back({});
+      listings_.back().host = settings.name;
+      listings_.back().port = servers_.back()->port();
+    }
+    discovery_.set(listings_);
+    node_ = std::make_unique<si::NodeProcess>(binary, config);
+    node_->await_ready();
+  }
+
+  int run() {
+    std::printf(
+        "node on 127.0.0.1:%d before servers s0, s1 and s2; %.0f calls/s of three classes for %.0f s\n",
+        node_->port(), kRate, seconds_);
+    std::printf("%4s %7s %8s %7s %9s %9s %9s  %s\n", "s", "served", "refused", "failed", "p50 ms", "p99 ms",
+                "attempts", "what happens");
+    si::LoadSettings load;
+    load.targets = {{"n1", node_->port()}};
+    load.classes = {{"lookup", si::CallEffect::kSafe, 2, kTimeout, kAim, 0},
+                    {"submit", si::CallEffect::kKeyed, 1, kTimeout, kAim, 200},
+                    {"test-close", si::CallEffect::kUnsafe, 1, kTimeout, kAim, 200}};
+    load.tenants = {{"centre", 1}};
+    load.rate = kRate;
+    load.seconds = seconds_;
+    load.patience = 0.5;
+    load.recorder = &recorder_;
+    si::LoadClient client(thread_.loop(), load);
+    client.start();
+    from_ = si::now();
+    const std::vector<Step> steps = plan();
+    std::size_t next = 0;
+    for (double second = 1; second <= seconds_; ++second) {
+      std::string told;
+      while (next < steps.size() && steps[next].at < second) {
+        wait_until(steps[next].at);
+        steps[next].act();
+        if (!told.empty()) told += "; ";
+        told += steps[next].words;
+        ++next;
+      }
+      wait_until(second);
+      print(second, told);
+    }
+    client.wait();
+    node_->signal(SIGTERM);
+    const int code = node_->exit_code();
+    return summary(client.result(), code);
+  }
+
+ private:
+  struct Step {
+    double at;
+    std::string words;
+    std::function<void()> act;
+  };
+
+  std::vector<Step> plan() {
+    const double d = seconds_ / 20;
+    return {{3 * d, "s0 is killed", [this] { servers_[0]->run("crash"); }},
+            {6 * d, "s0 is back, cold", [this] { come_back(0); }},
+            {9 * d, "s1 drains", [this] { discovery_.state("s1", "leaving"); }},
+            {12 * d, "s1 is gone", [this] { discovery_.state("s1", "left"); }},
+            {14 * d, "s1 is back, cold", [this] { come_back(1); }},
+            {17 * d, "s2 stops answering for a second", [this] { servers_[2]->run("silent for 1"); }}};
+  }
+
+  void come_back(std::size_t i) {
+    servers_[i]->well();
+    char cold[64];
+    std::snprintf(cold, sizeof cold, "cold %.2f %.0f 4", kStartCapacity, kRampTime);
+    servers_[i]->run(cold);
+    listings_[i].born_ms = si::unix_ms();
+    discovery_.set(listings_[i]);
+  }
+
+  void wait_until(double second) const {
+    const double left = from_ + second - si::now();
+    if (left > 0) std::this_thread::sleep_for(std::chrono::duration<double>(left));
+  }
+
+  void print(double second, const std::string& told) {
+    const double to = from_ + second, since = to - 1;
+    Second s;
+    for (const si::CallRecord& call : recorder_.calls()) {
+      if (call.end == si::CallEnd::kOpen || call.answered_at <= since || call.answered_at > to) continue;
+      if (call.end == si::CallEnd::kAnswered && call.status == 200) {
+        ++s.served;
+        s.times.push_back(call.answered_at - call.sent_at);
+      } else if (call.status == 503 || call.status == 429) {
+        ++s.refused;
+      } else {
+        ++s.failed;
+      }
+    }
+    for (const si::AttemptRecord& attempt : recorder_.attempts()) {
+      s.attempts += attempt.last_byte_at > since && attempt.last_byte_at <= to;
+    }
+    std::printf("%4.0f %7d %8d %7d %9.1f %9.1f %9d  %s\n", second, s.served, s.refused, s.failed,
+                quantile(s.times, 0.5) * 1000, quantile(s.times, 0.99) * 1000, s.attempts, told.c_str());
+    std::fflush(stdout);
+  }
+
+  int summary(const si::LoadResult& result, int code) {
+    si::CheckerSettings settings;
+    settings.classes = checked_classes();
+    settings.late_slack = 0.5;
+    settings.crossing = 0.5;
+    for (const si::Listing& server : listings_)
+      settings.servers.push_back({server.host, server.site, server.block});
+    const auto broken = si::Checker(settings).check(
+        {recorder_.calls(), recorder_.attempts(), recorder_.told(), recorder_.fallen(), {node_->life()}});
+    const si::LoadCounts& all = result.all;
+    std::printf(
+        "\n%llu calls: %llu served, %llu refused, %llu failed or timed out; %zu attempts at servers\n",
+        static_cast<unsigned long long>(all.calls), static_cast<unsigned long long>(all.served),
+        static_cast<unsigned long long>(all.refused),
+        static_cast<unsigned long long>(all.failed + all.timed_out + all.unsent),
+        recorder_.attempts().size());
+    if (broken.empty() && code == 0) {
+      std::printf("kept: no request lost, no effect twice, drains obeyed, no cold server pushed over\n");
+      return 0;
+    }
+    std::printf("%sthe node ended with %d; its log:\n%s", si::to_text(broken).c_str(), code,
+                node_->log().c_str());
+    return 1;
+  }
+
+  const double seconds_;
+  si::LoopThread thread_;
+  si::Recorder recorder_;
+  si::ScriptedDiscovery discovery_{thread_.loop(), &recorder_};
+  std::vector<std::unique_ptr<si::ScriptedServer>> servers_;
+  std::vector<si::Listing> listings_;
+  std::unique_ptr<si::NodeProcess> node_;
+  double from_ = 0;
+};
+
+}  // namespace
+
+int run_demo(const std::string& binary, double seconds) {
+  try {
+    return Demo(binary, seconds).run();
+  } catch (const std::exception& problem) {
+    std::fprintf(stderr, "nettlestand: %s\n", problem.what());
+    return 1;
+  }
+}
+
+}  // namespace nettlestand
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,15 +1,22 @@
 // nettlestand: one node of the load balancer. See README.md for its configuration.
+#include <CLI/CLI.hpp>
 #include <array>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
 #include <fstream>
+#include <random>
 #include <stdexcept>
 #include <string>
 
 #include "daemon/node.h"
+#include "daemon/operator_file.h"
+#include "nettlestand/version.h"
 #include "util/clock.h"
+#ifdef NETTLESTAND_WITH_DEMO
+#include "daemon/demo.h"
+#endif
 
 namespace {
 
@@ -20,30 +27,54 @@
 
 void log_line(const std::string& text) { std::fprintf(stderr, "%.3f %s\n", ns::now(), text.c_str()); }
 
-ns::Config load() {
-  const char* path = std::getenv("GW_CONFIG");
-  if (path == nullptr) throw std::runtime_error("GW_CONFIG is not set");
+std::string contents(const std::string& path) {
   std::ifstream in(path);
-  if (!in) throw std::runtime_error(std::string("can't read ") + path);
+  if (!in) throw std::runtime_error("can't read " + path);
   // Guards the memory of a node that runs: a file is read again after each SIGHUP.
   std::string text;
   for (std::array<char, 4096> part; in.read(part.data(), part.size()), in.gcount() > 0;) {
     text.append(part.data(), static_cast<std::size_t>(in.gcount()));
-    if (text.size() > kLongestConfig) throw std::runtime_error(std::string(path) + " is longer than 4 MiB");
+    if (text.size() > kLongestConfig) throw std::runtime_error(path + " is longer than 4 MiB");
   }
-  return ns::read_config(text);
+  if (in.bad()) throw std::runtime_error("can't read " + path);
+  return text;
 }
 
-}  // namespace
+// The operator's file, or all that is wrong with it as the text of what is thrown.
+ns::Config operator_file(const std::string& path, bool alone) {
+  std::vector<ns::Problem> problems;
+  const auto out = ns::read_operator_file(contents(path), alone, problems);
+  if (out) return *out;
+  std::string text = ns::to_text(problems, path);
+  text.pop_back();
+  throw std::runtime_error(text);
+}
+
+// What the platform tells rules, and the operator's file adds to it; without the platform the file says it
+// all.
+ns::Config load(const std::string& file) {
+  const char* platform = std::getenv("GW_CONFIG");
+  if (platform == nullptr && file.empty()) throw std::runtime_error("GW_CONFIG is not set");
+  if (platform == nullptr) {
+    ns::Config alone = operator_file(file, true);
+    if (alone.seed == 0) alone.seed = std::random_device()();  // nodes must not draw alike
+    return alone;
+  }
+  ns::Config out = ns::read_config(contents(platform));
+  if (!file.empty()) ns::add_operator_file(out, operator_file(file, false));
+  return out;
+}
 
-int main() {
+int run(const std::string& file) {
   std::signal(SIGPIPE, SIG_IGN);
   int failure = kBadConfig;
   try {
-    const ns::Config config = load();
+    const ns::Config config = load(file);
     failure = kCannotStart;
-    ns::Node node(config, load, log_line);
+    ns::Node node(
+        config, [&] { return load(file); }, log_line);
     node.run();
+    std::fflush(nullptr);
     std::_Exit(0);                                  // what is still open ends with the process
   } catch (const std::invalid_argument& problem) {  // settings that the module can't use
     failure = kBadConfig;
@@ -53,3 +84,60 @@
   }
   return failure;
 }
+
+// A file that runs a node alone, or one that adds to the platform's: with GW_CONFIG in the environment, the
+// latter.
+int check(const std::string& file) {
+  try {
+    operator_file(file, std::getenv("GW_CONFIG") == nullptr);
+    std::printf("%s: good\n", file.c_str());
+    return 0;
+  } catch (const std::exception& problem) {
+    std::fprintf(stderr, "%s\n", problem.what());
+    return kBadConfig;
+  }
+}
+
+int demo([[maybe_unused]] double seconds) {
+#ifdef NETTLESTAND_WITH_DEMO
+  return ns::run_demo("/proc/self/exe", seconds);
+#else
+  std::fprintf(stderr,
+               "nettlestand: this build has no demo; configure with -DNETTLESTAND_BUILD_STANDINS=ON\n");
+  return kCannotStart;
+#endif
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app(
+      "A load balancer for services that call services. Without a subcommand it runs on GW_CONFIG, the "
+      "platform's configuration.",
+      "nettlestand");
+  app.set_version_flag("--version", "nettlestand " NETTLESTAND_VERSION);
+  app.require_subcommand(0, 1);
+  std::string file;
+  double seconds = 20;
+  CLI::App* run_it = app.add_subcommand("run",
+                                        "Runs a node on the platform's configuration, an operator's file, or "
+                                        "both: then the platform's rules and the file adds to it.");
+  run_it->add_option("--config", file, "the operator's file (TOML)");
+  CLI::App* check_it =
+      app.add_subcommand("check", "Says all that is wrong with an operator's file; exit code 2 then.");
+  check_it->add_option("file", file, "the operator's file (TOML)")->required();
+  CLI::App* demo_it = app.add_subcommand("demo",
+                                         "A node, three servers and callers on loopback: a server is killed, "
+                                         "drained and cold-started on the way.");
+  demo_it->add_option("--seconds", seconds, "how long it lasts")
+      ->check(CLI::Range(5.0, 600.0))
+      ->capture_default_str();
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& problem) {
+    return app.exit(problem) == 0 ? 0 : kBadConfig;
+  }
+  if (*check_it) return check(file);
+  if (*demo_it) return demo(seconds);
+  return run(file);
+}
--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <csignal>
 #include <exception>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -34,29 +35,35 @@
     : io_(kUnlocked),
       reload_config_(std::move(reload)),
       log_(std::move(log)),
+      config_(config),
       sockets_(config.sockets - kOtherSockets),
       plan_(config.settings.copy_count == 1, longest_deadline(config.settings)),
-      discovery_(
-          io_,
-          {config.discovery, config.zones, config.seed,
-           config.known ? std::optional(config.known->seq) : std::nullopt, !config.settings.must_watch,
-           config.most_servers()},
-          {[this](const ServerList& list) { engine_.list_came(list); }, [this] { engine_.watch_failed(); }},
-          log_),
       budget_(config.memory_mb * 1024 * 1024 / kBodyPart),
       upstream_(io_, {config.connect_timeout, config.idle_close, sockets_ * 9 / 20}, budget_, log_),
       engine_(io_, {config.settings, config.seed, config.most_servers(), config.known}, upstream_, log_,
-              [this] { discovery_.watch(); }),
+              [this] {
+                if (discovery_) discovery_->watch();
+              }),
       listener_(io_, config.listen, Intake(config.settings, config.classes, config.tenants), engine_, budget_,
-                sockets_ * 11 / 20, log_),
+                sockets_ * 11 / 20, config.listener, log_),
       signals_(io_, SIGTERM, SIGINT),
       reload_(io_, SIGHUP),
-      look_(io_) {}
+      look_(io_) {
+  if (!config.discovery) return;
+  discovery_.emplace(io_,
+                     DiscoveryOptions{*config.discovery, config.zones, config.seed,
+                                      config.known ? std::optional(config.known->seq) : std::nullopt,
+                                      !config.settings.must_watch, config.most_servers()},
+                     Discovery::Listeners{[this](const ServerList& list) { engine_.list_came(list); },
+                                          [this] { engine_.watch_failed(); }},
+                     log_);
+}
 
 void Node::run() {
   log_("listening on " + listener_.address().address().to_string() + ":" +
        std::to_string(listener_.address().port()));
   engine_.start();
+  if (!discovery_ && config_.servers) engine_.list_came(*config_.servers);
   signals_.async_wait([this](const boost::system::error_code& error, int) {
     if (!error) drain();
   });
@@ -71,13 +78,21 @@
 }
 
 // Guards the running node against its next configuration: what can't be read or used changes nothing. Only
-// discovery's address is taken over; the rest holds until the next start.
+// discovery's address, or the list of servers where there is none, is taken over; the rest holds until the
+// next start.
 void Node::await_reload() {
   reload_.async_wait([this](const boost::system::error_code& error, int) {
     if (error) return;
     await_reload();
     try {
-      discovery_.move(reload_config_().discovery);
+      const Config next = reload_config_();
+      if (discovery_ && next.discovery) {
+        discovery_->move(*next.discovery);
+      } else if (!discovery_ && next.servers) {
+        engine_.list_came(*next.servers);
+      } else {
+        throw std::runtime_error("it has another source of servers");
+      }
     } catch (const std::exception& problem) {
       log_(std::string("the configuration stays as it was: ") + problem.what());
     }
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -5,6 +5,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <optional>
 
 #include "core/engine.h"
 #include "daemon/config.h"
@@ -34,9 +35,10 @@
   boost::asio::io_context io_;
   const std::function<Config()> reload_config_;
   const Log log_;
+  const Config config_;
   const std::size_t sockets_;
   const DrainPlan plan_;
-  Discovery discovery_;
+  std::optional<Discovery> discovery_;
   ByteBudget budget_;
   Upstream upstream_;
   Engine engine_;
--- /dev/null
+++ b/daemon/operator_file.cpp
@@ -0,0 +1,455 @@
+#include "daemon/operator_file.h"
+
+#define TOML_HEADER_ONLY 1
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "util/endpoint.h"
+
+namespace nettlestand {
+namespace {
+
+namespace qu = quinceusher;
+
+constexpr double kHourMs = 3'600'000, kDayMs = 86'400'000;
+constexpr std::size_t kLongestName = 128, kLongestServer = 255;  // bytes
+
+// How many bytes to change, add or drop to make one name of another (Levenshtein).
+std::size_t distance(std::string_view a, std::string_view b) {
+  std::vector<std::size_t> row(b.size() + 1);
+  for (std::size_t j = 0; j <= b.size(); ++j) row[j] = j;
+  for (std::size_t i = 1; i <= a.size(); ++i) {
+    std::size_t corner = std::exchange(row[0], i);
+    for (std::size_t j = 1; j <= b.size(); ++j) {
+      const std::size_t change = corner + (a[i - 1] == b[j - 1] ? 0 : 1);
+      corner = std::exchange(row[j], std::min({row[j] + 1, row[j - 1] + 1, change}));
+    }
+  }
+  return row.back();
+}
+
+std::string plain(double value) {
+  std::array<char, 32> out{};
+  std::snprintf(out.data(), out.size(), "%.10g", value);
+  return out.data();
+}
+
+const char* kind_of(const toml::node& node) {
+  switch (node.type()) {
+    case toml::node_type::table:
+      return "a table";
+    case toml::node_type::array:
+      return "an array";
+    case toml::node_type::string:
+      return "a string";
+    case toml::node_type::integer:
+      return "a whole number";
+    case toml::node_type::floating_point:
+      return "a decimal number";
+    case toml::node_type::boolean:
+      return "a boolean";
+    default:
+      return "a date or time";
+  }
+}
+
+class Problems {
+ public:
+  explicit Problems(std::vector<Problem>& to) : to_(to) {}
+  void add(const toml::source_region& where, std::string text) {
+    to_.push_back({where.begin.line, where.begin.column, std::move(text)});
+  }
+
+ private:
+  std::vector<Problem>& to_;
+};
+
+// One table of the file. Each key that is asked for is known; finish() tells of the others.
+class Section {
+ public:
+  Section(Problems& problems, const toml::table* table, std::string name)
+      : problems_(problems), table_(table), name_(std::move(name)) {}
+
+  bool there() const { return table_ != nullptr; }
+  toml::source_region where() const {
+    return table_ != nullptr ? table_->source() : toml::source_region{{1, 1}, {1, 1}, {}};
+  }
+  toml::source_region where(const char* key) const {
+    const toml::node* node = table_ != nullptr ? table_->get(key) : nullptr;
+    return node != nullptr ? node->source() : where();
+  }
+  bool has(const char* key) const { return table_ != nullptr && table_->contains(key); }
+  void wrong(const char* key, const std::string& what) {
+    problems_.add(where(key), name_ + "." + key + ": " + what);
+  }
+  void missing(const char* key) { problems_.add(where(), name_ + "." + key + " is missing"); }
+
+  const toml::node* find(const char* key, const char* wanted, bool (*is)(const toml::node&)) {
+    known_.insert(key);
+    const toml::node* node = table_ != nullptr ? table_->get(key) : nullptr;
+    if (node == nullptr || is(*node)) return node;
+    wrong(key, std::string("is ") + kind_of(*node) + " where " + wanted + " belongs");
+    return nullptr;
+  }
+
+  std::optional<std::string> text(const char* key, std::size_t longest) {
+    const toml::node* node = find(key, "a string", [](const toml::node& n) { return n.is_string(); });
+    if (node == nullptr) return std::nullopt;
+    const std::string out = **node->as_string();
+    if (out.empty() || out.size() > longest) {
+      wrong(key, "is not 1 to " + std::to_string(longest) + " bytes");
+      return std::nullopt;
+    }
+    const auto control = [](char c) { return static_cast<unsigned char>(c) < 0x20 || c == 0x7f; };
+    if (std::any_of(out.begin(), out.end(), control)) wrong(key, "holds a control character");
+    return out;
+  }
+
+  double whole(const char* key, double otherwise, double least, double most) {
+    const toml::node* node = find(key, "a whole number", [](const toml::node& n) { return n.is_integer(); });
+    return node == nullptr ? otherwise
+                           : ranged(key, static_cast<double>(**node->as_integer()), otherwise, least, most);
+  }
+  double number(const char* key, double otherwise, double least, double most) {
+    const toml::node* node = find(key, "a number", [](const toml::node& n) { return n.is_number(); });
+    if (node == nullptr) return otherwise;
+    const double value =
+        node->is_integer() ? static_cast<double>(**node->as_integer()) : **node->as_floating_point();
+    return ranged(key, value, otherwise, least, most);
+  }
+  // In ms, as s.
+  double ms(const char* key, double otherwise_ms, double least_ms, double most_ms) {
+    return whole(key, otherwise_ms, least_ms, most_ms) / 1000;
+  }
+
+  std::optional<boost::asio::ip::tcp::endpoint> address(const char* key) {
+    const auto text = this->text(key, 255);
+    if (!text) return std::nullopt;
+    const auto out = endpoint_of(*text);
+    if (!out) wrong(key, "'" + *text + "' is not an address and a port (names are not resolved)");
+    return out;
+  }
+
+  // The place of a word among those that are allowed.
+  std::size_t word(const char* key, const std::vector<std::string>& words, std::size_t otherwise) {
+    const auto text = this->text(key, kLongestName);
+    if (!text) return otherwise;
+    const auto it = std::find(words.begin(), words.end(), *text);
+    if (it != words.end()) return static_cast<std::size_t>(it - words.begin());
+    std::string all;
+    for (const std::string& word : words) all += (all.empty() ? "" : ", ") + word;
+    wrong(key, "'" + *text + "' is none of " + all);
+    return otherwise;
+  }
+
+  void finish() {
+    if (table_ == nullptr) return;
+    for (const auto& [key, node] : *table_) {
+      if (known_.contains(std::string(key.str()))) continue;
+      std::string text = "unknown key '" + std::string(key.str()) + "' in " + name_;
+      // The nearest one by far, or one that it begins.
+      const auto far = [&](const std::string& known) {
+        return known.starts_with(key.str()) ? 0 : distance(known, key.str());
+      };
+      const auto nearest = std::min_element(known_.begin(), known_.end(),
+                                            [&](const auto& a, const auto& b) { return far(a) < far(b); });
+      if (nearest != known_.end() && far(*nearest) <= 2) text += "; did you mean '" + *nearest + "'?";
+      problems_.add(key.source(), text);
+    }
+  }
+
+ protected:
+  double ranged(const char* key, double value, double otherwise, double least, double most) {
+    if (value >= least && value <= most) return value;
+    wrong(key, plain(value) + " is not from " + plain(least) + " to " + plain(most));
+    return otherwise;
+  }
+
+  Problems& problems_;
+  const toml::table* table_;
+  const std::string name_;
+  std::set<std::string> known_;
+};
+
+// Sections that may come several times, as [[class]].
+std::vector<const toml::table*> tables(Section& root, Problems& problems, const char* key) {
+  std::vector<const toml::table*> out;
+  const toml::node* node =
+      root.find(key, "a list of tables", [](const toml::node& n) { return n.is_array(); });
+  if (node == nullptr) return out;
+  for (const toml::node& item : *node->as_array()) {
+    if (item.is_table()) {
+      out.push_back(item.as_table());
+    } else {
+      problems.add(item.source(), std::string(key) + ": " + kind_of(item) + " where a table belongs");
+    }
+  }
+  return out;
+}
+
+class Reader {
+ public:
+  Reader(const toml::table& root, bool alone, std::vector<Problem>& to)
+      : problems_(to), root_(problems_, &root, "the file"), alone_(alone) {}
+
+  Config read() {
+    node();
+    limits();
+    warm_up();
+    listener();
+    classes();
+    tenants();
+    discovery();
+    servers();
+    root_.finish();
+    return std::move(out_);
+  }
+
+ private:
+  Section section(const char* name) {
+    const toml::node* node = root_.find(name, "a table", [](const toml::node& n) { return n.is_table(); });
+    return {problems_, node == nullptr ? nullptr : node->as_table(), name};
+  }
+
+  void node() {
+    Section s = section("node");
+    out_.name = s.text("name", kLongestName).value_or("nettlestand");
+    if (const auto listen = s.address("listen")) {
+      out_.listen = *listen;
+    } else if (alone_ && !s.has("listen")) {
+      s.missing("listen");
+    }
+    out_.settings.copy_count = static_cast<int>(s.whole("nodes", 1, 1, 100000));
+    out_.settings.copy_index = static_cast<int>(s.whole("position", 0, 0, 99999));
+    if (out_.settings.copy_index >= out_.settings.copy_count) {
+      s.wrong("position", plain(out_.settings.copy_index) + " is not under node.nodes, which is " +
+                              plain(out_.settings.copy_count));
+    }
+    out_.settings.tier = static_cast<int>(s.whole("tier", 0, 0, 1000));
+    out_.seed = static_cast<std::uint64_t>(s.whole("seed", 0, 1, 9e15));
+    if (const toml::node* zones =
+            s.find("zones", "an array", [](const toml::node& n) { return n.is_array(); })) {
+      for (const toml::node& item : *zones->as_array()) zone_named(item);
+      if (out_.zones.size() > 1000) s.wrong("zones", "more than 1000");
+    } else {
+      zones_known_ = !s.has("zones");
+    }
+    if (const auto zone = s.text("zone", kLongestName)) out_.settings.zone = zone_of(s, *zone);
+    s.finish();
+  }
+
+  void zone_named(const toml::node& item) {
+    if (!item.is_string()) {
+      return problems_.add(item.source(),
+                           std::string("node.zones: ") + kind_of(item) + " where a string belongs");
+    }
+    const std::string& name = **item.as_string();
+    if (name.empty() || name.size() > kLongestName) {
+      problems_.add(item.source(), "node.zones: a name is not 1 to 128 bytes");
+    } else if (std::find(out_.zones.begin(), out_.zones.end(), name) != out_.zones.end()) {
+      problems_.add(item.source(), "node.zones: '" + name + "' stands there twice");
+    } else {
+      out_.zones.push_back(name);
+    }
+  }
+
+  int zone_of(Section& s, const std::string& name) {
+    const auto it = std::find(out_.zones.begin(), out_.zones.end(), name);
+    if (it != out_.zones.end()) return static_cast<int>(it - out_.zones.begin());
+    if (zones_known_) s.wrong("zone", "'" + name + "' is none of node.zones");
+    return 0;
+  }
+
+  void limits() {
+    Section s = section("limits");
+    out_.sockets = static_cast<std::size_t>(s.whole("sockets", 1024, 64, 2147483647));
+    out_.memory_mb = static_cast<std::size_t>(s.whole("memory_mb", 64, 16, 1e6));
+    out_.settings.max_attempts = static_cast<int>(s.whole("max_attempts", 4, 1, 1000));
+    out_.settings.max_retry_after = s.ms("max_retry_after_ms", 2000, 0, kHourMs);
+    out_.connect_timeout = s.ms("connect_timeout_ms", 250, 1, 600'000);
+    out_.idle_close = s.ms("server_idle_close_ms", 5000, 10, kDayMs);
+    out_.settings.can_cancel = true;
+    s.finish();
+  }
+
+  void warm_up() {
+    Section s = section("warm_up");
+    out_.settings.start_capacity = s.number("start_capacity", 1, 0, 1);
+    out_.settings.ramp_time = s.ms("ramp_ms", 0, 0, kDayMs);
+    if (out_.settings.start_capacity < 1 && out_.settings.ramp_time == 0) {
+      s.wrong("start_capacity", "is under 1, and no warm_up.ramp_ms says when a server has the rest");
+    }
+    s.finish();
+  }
+
+  void listener() {
+    Section s = section("listener");
+    const ListenerLimits usual;
+    out_.listener.idle = s.ms("idle_ms", usual.idle * 1000, 2000, kDayMs);
+    out_.listener.read = s.ms("read_ms", usual.read * 1000, 100, kHourMs);
+    out_.listener.write = s.ms("write_ms", usual.write * 1000, 100, kHourMs);
+    s.finish();
+  }
+
+  // Names that stand there once.
+  void named(Section& s, std::map<std::string, std::uint32_t>& seen, const std::optional<std::string>& name) {
+    if (!name) {
+      if (!s.has("name")) s.missing("name");
+      return;
+    }
+    const auto [it, fresh] = seen.emplace(*name, s.where("name").begin.line);
+    if (!fresh) s.wrong("name", "'" + *name + "' stands in line " + std::to_string(it->second) + " already");
+  }
+
+  void classes() {
+    std::map<std::string, std::uint32_t> seen;
+    const auto all = tables(root_, problems_, "class");
+    if (all.empty() && alone_ && !root_.has("class")) root_.missing("class");
+    if (all.size() > 100) root_.wrong("class", "more than 100");
+    for (const toml::table* table : all) {
+      Section s(problems_, table, "class");
+      const auto name = s.text("name", kLongestName);
+      named(s, seen, name);
+      qu::RequestClass c;
+      c.effect = static_cast<qu::Effect>(s.word("effect", {"safe", "keyed", "unsafe"}, 2));
+      if (!s.has("effect")) s.missing("effect");
+      c.give_up = s.ms("deadline_ms", 2000, 1, kHourMs);
+      if (!s.has("deadline_ms")) s.missing("deadline_ms");
+      c.aim = s.ms("aim_ms", c.give_up * 500 < 1 ? 1 : c.give_up * 500, 1, kHourMs);
+      if (c.aim > c.give_up) {
+        s.wrong("aim_ms",
+                plain(c.aim * 1000) + " is over class.deadline_ms, which is " + plain(c.give_up * 1000));
+      }
+      c.late_worth = s.number("late_worth", 0.5, 0, 1);
+      c.dedup_scope = static_cast<qu::DedupScope>(s.word("dedup", {"all", "zone", "cell"}, 0));
+      c.dedup_window = s.ms("dedup_window_ms", 0, 0, kDayMs);
+      for (const char* key : {"dedup", "dedup_window_ms"}) {
+        if (s.has(key) && c.effect != qu::Effect::kKeyed) s.wrong(key, "belongs to keyed classes only");
+      }
+      if (c.effect == qu::Effect::kKeyed && !s.has("dedup_window_ms")) s.missing("dedup_window_ms");
+      s.finish();
+      out_.settings.classes.push_back(c);
+      out_.classes.push_back(name.value_or(""));
+    }
+  }
+
+  void tenants() {
+    std::map<std::string, std::uint32_t> seen;
+    const auto all = tables(root_, problems_, "tenant");
+    if (all.size() > 1000) root_.wrong("tenant", "more than 1000");
+    for (const toml::table* table : all) {
+      Section s(problems_, table, "tenant");
+      const auto name = s.text("name", kLongestName);
+      named(s, seen, name);
+      qu::Tenant t;
+      const double allowance = s.number("allowance_per_s", 0, 0, 1e9);
+      if (s.has("allowance_per_s")) t.allowance = allowance;
+      s.finish();
+      out_.settings.tenants.push_back(t);
+      out_.tenants.push_back(name.value_or(""));
+    }
+    if (!all.empty()) {
+      out_.settings.over_share_worth = 1;
+    }
+  }
+
+  void discovery() {
+    Section s = section("discovery");
+    if (s.there()) {
+      out_.discovery = s.address("address");
+      if (!s.has("address")) s.missing("address");
+      if (out_.discovery && out_.discovery == out_.listen) {
+        s.wrong("address", "is node.listen: the node would ask itself");
+      }
+      out_.settings.must_watch = true;
+      out_.settings.ask_within = 0.4;
+    }
+    s.finish();
+  }
+
+  void servers() {
+    std::map<std::string, std::uint32_t> seen;
+    std::map<boost::asio::ip::tcp::endpoint, std::uint32_t> dials;
+    const auto all = tables(root_, problems_, "server");
+    const bool discovered = root_.has("discovery");
+    if (alone_ && all.empty() && !discovered && !root_.has("server")) {
+      problems_.add(root_.where(), "nothing says where servers are: [[server]] or [discovery] is missing");
+    }
+    if (!all.empty() && discovered) {
+      root_.wrong("server", "stands beside [discovery], which would replace it");
+    }
+    if (all.size() > out_.most_servers()) {
+      root_.wrong("server",
+                  "more than limits.memory_mb allows, which is " + std::to_string(out_.most_servers()));
+    }
+    ServerList list;
+    list.whole = true;
+    for (const toml::table* table : all) {
+      Section s(problems_, table, "server");
+      ListedServer server;
+      const auto name = s.text("name", kLongestServer);
+      named(s, seen, name);
+      server.facts.address = name.value_or("");
+      if (const auto dial = s.address("address")) {
+        server.dial = *dial;
+        const auto [it, fresh] = dials.emplace(*dial, s.where("address").begin.line);
+        if (!fresh) s.wrong("address", "is that of the server in line " + std::to_string(it->second));
+        if (*dial == out_.listen) s.wrong("address", "is node.listen: the node would send to itself");
+      } else if (!s.has("address")) {
+        s.missing("address");
+      }
+      if (const auto zone = s.text("zone", kLongestName)) server.facts.zone = zone_of(s, *zone);
+      server.facts.cell = static_cast<int>(s.whole("cell", 0, 0, 1e6));
+      server.facts.weight = s.number("weight", 1, 0, 1e6);
+      server.facts.state = s.word("state", {"ready", "draining"}, 0) == 0 ? qu::ServerState::kReady
+                                                                          : qu::ServerState::kDraining;
+      s.finish();
+      list.servers.push_back(std::move(server));
+    }
+    if (!all.empty()) out_.servers = std::move(list);
+  }
+
+  Problems problems_;
+  Section root_;
+  const bool alone_;
+  bool zones_known_ = true;  // else what is wrong with them has been told
+  Config out_;
+};
+
+}  // namespace
+
+std::optional<Config> read_operator_file(std::string_view text, bool alone, std::vector<Problem>& problems) {
+  problems.clear();
+  try {
+    const toml::table root = toml::parse(text);
+    Config out = Reader(root, alone, problems).read();
+    std::stable_sort(problems.begin(), problems.end(), [](const Problem& a, const Problem& b) {
+      return std::pair(a.line, a.column) < std::pair(b.line, b.column);
+    });
+    if (problems.empty()) return out;
+  } catch (const toml::parse_error& error) {
+    const auto where = error.source().begin;
+    problems.push_back({where.line, where.column, "not valid TOML: " + std::string(error.description())});
+  }
+  return std::nullopt;
+}
+
+std::string to_text(const std::vector<Problem>& problems, const std::string& file) {
+  std::string out;
+  for (const Problem& problem : problems) {
+    out += file + ":" + std::to_string(problem.line) + ":" + std::to_string(problem.column) + ": " +
+           problem.text + "\n";
+  }
+  return out;
+}
+
+void add_operator_file(Config& platform, const Config& file) { platform.listener = file.listener; }
+
+}  // namespace nettlestand
--- a/gateway/impl.cpp
+++ b/gateway/impl.cpp
@@ -67,8 +67,8 @@
       id_base_(random_base()) {
   if (checked_.discovery) {
     discovery_.emplace(loop_,
-                       DiscoveryOptions{*checked_.discovery, options_.zones, options_.seed, options_.servers_version,
-                                        false, checked_.engine.most_servers},
+                       DiscoveryOptions{*checked_.discovery, options_.zones, options_.seed,
+                                        options_.servers_version, false, checked_.engine.most_servers},
                        Discovery::Listeners{[this](const ServerList& list) { engine_.list_came(list); },
                                             [this] { engine_.watch_failed(); }},
                        [this](const std::string& text) { log(text); });
--- a/http/listener.cpp
+++ b/http/listener.cpp
@@ -25,12 +25,9 @@
 constexpr std::size_t kOtherLimit = 64 * 1024;    // bytes of a body that is not for /api
 constexpr std::size_t kEarlyLimit = 8 * 1024;     // bytes kept of a next request while one is being answered
 constexpr std::size_t kEndingLimit = 256 * 1024;  // bytes thrown away after the last answer
-constexpr double kIdleLimit = 20;                 // s without a request
-constexpr double kReadLimit = 2.2;   // s for a request, from the connection's start if it is its first
-constexpr double kWriteLimit = 5;    // s for a client to take its answer
-constexpr double kEndingLimitS = 1;  // s for a client to close after its last answer
-constexpr double kYoung = 0.25;      // s in which a new connection or a request being read is not evicted
-constexpr int kEvictionLooks = 16;   // connections looked at to find one that can go
+constexpr double kEndingLimitS = 1;               // s for a client to close after its last answer
+constexpr double kYoung = 0.25;     // s in which a new connection or a request being read is not evicted
+constexpr int kEvictionLooks = 16;  // connections looked at to find one that can go
 constexpr auto kSweepPeriod = std::chrono::milliseconds(200);
 constexpr auto kAcceptPause = std::chrono::milliseconds(20);  // after a failed accept: never a busy loop
 
@@ -271,13 +268,14 @@
 };
 
 Listener::Listener(asio::io_context& io, const tcp::endpoint& address, Intake intake, Engine& engine,
-                   ByteBudget& budget, std::size_t most_connections, Log log)
+                   ByteBudget& budget, std::size_t most_connections, const ListenerLimits& limits, Log log)
     : io_(io),
       engine_(engine),
       budget_(budget),
       log_(std::move(log)),
       intake_(std::move(intake)),
       most_(most_connections),
+      limits_(limits),
       acceptor_(io),
       retry_(io),
       sweep_(io) {
@@ -376,13 +374,13 @@
       oldest->close();
     }
   };
-  close_older(fresh_, kReadLimit);
-  close_older(idle_, kIdleLimit);
-  close_older(writing_, kWriteLimit);
+  close_older(fresh_, limits_.read);
+  close_older(idle_, limits_.idle);
+  close_older(writing_, limits_.write);
   close_older(ending_, kEndingLimitS);
   for (auto it = reading_.begin(); it != reading_.end();) {
     const std::shared_ptr<Connection> next = *it++;
-    next->close_if_slow(kReadLimit);
+    next->close_if_slow(limits_.read);
   }
   sweep_.expires_after(kSweepPeriod);
   sweep_.async_wait([this](const error_code& error) {
--- a/http/listener.h
+++ b/http/listener.h
@@ -15,13 +15,21 @@
 
 namespace nettlestand {
 
+// How long a listener waits for its clients.
+struct ListenerLimits {
+  double idle = 20;   // s without a request
+  double read = 2.2;  // s for a request, from the connection's start if it is its first
+  double write = 5;   // s for a client to take its answer
+};
+
 class Listener {
  public:
   class Connection;
 
   // Throws boost::system::system_error when the address can't be listened on.
   Listener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, Intake intake,
-           Engine& engine, ByteBudget& budget, std::size_t most_connections, Log log);
+           Engine& engine, ByteBudget& budget, std::size_t most_connections, const ListenerLimits& limits,
+           Log log);
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
@@ -50,6 +58,7 @@
   const Log log_;
   const Intake intake_;
   const std::size_t most_;
+  const ListenerLimits limits_;
   std::size_t count_ = 0, busy_ = 0;  // busy: with a request that waits for its answer or gets it
   bool draining_ = false, finishing_ = false, accepting_ = false, full_ = false;
   // Each in the order in which they became so. fresh: has sent nothing yet; ending: has its last answer.
--- /dev/null
+++ b/include/nettlestand/version.h
@@ -0,0 +1,4 @@
+// The version of the library and of the program, after https://semver.org.
+#pragma once
+
+#define NETTLESTAND_VERSION "0.2.0"
--- /dev/null
+++ b/tests/config/command_line_test.cpp
@@ -0,0 +1,153 @@
+// The program's command line: what it starts, says, and ends with.
+#include <sstream>
+
+#include "tests/forms/world.h"
+
+namespace nettlestand::testing {
+namespace {
+
+struct Ran {
+  int code = 0;
+  std::string out;  // both streams
+};
+
+Ran run(const std::string& arguments) {
+  Ran ran;
+  FILE* pipe = popen(("env -u GW_CONFIG " + std::string(NODE) + " " + arguments + " 2>&1").c_str(), "r");
+  for (char bytes[1024]; fgets(bytes, sizeof bytes, pipe) != nullptr;) ran.out += bytes;
+  const int status = pclose(pipe);
+  ran.code = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  return ran;
+}
+
+// A file that goes with the test.
+struct File {
+  explicit File(const std::string& text) {
+    static int count = 0;
+    path = ::testing::TempDir() + "/operator_" + std::to_string(getpid()) + "_" + std::to_string(++count) +
+           ".toml";
+    std::ofstream(path) << text;
+  }
+  File(const File&) = delete;
+  File& operator=(const File&) = delete;
+  ~File() { std::remove(path.c_str()); }
+  std::string path;
+};
+
+std::string file_for(int server_port) {
+  return "[node]\nlisten = \"127.0.0.1:0\"\ntier = 1\n[[class]]\nname = \"close\"\neffect = "
+         "\"unsafe\"\ndeadline_ms = 5000\n"
+         "[[tenant]]\nname = \"acme\"\n[[server]]\nname = \"s0\"\naddress = \"127.0.0.1:" +
+         std::to_string(server_port) + "\"\n";
+}
+
+TEST(CommandLine, TellsItsVersionAndItsUse) {
+  const Ran version = run("--version");
+  EXPECT_EQ(version.code, 0);
+  EXPECT_EQ(version.out.rfind("nettlestand 0.", 0), 0U) << version.out;
+  const Ran help = run("--help");
+  EXPECT_EQ(help.code, 0);
+  for (const char* word : {"run", "check", "demo", "--version"}) EXPECT_TRUE(has(help.out, word)) << help.out;
+  EXPECT_TRUE(has(run("demo --help").out, "--seconds"));
+}
+
+TEST(CommandLine, NamesWhatItDoesNotKnow) {
+  for (const auto& [arguments, word] :
+       std::vector<std::pair<std::string, std::string>>{{"frobnicate", "frobnicate"},
+                                                        {"--colour", "--colour"},
+                                                        {"run --confg x", "--confg"},
+                                                        {"check", "file"},
+                                                        {"run extra", "extra"},
+                                                        {"demo --seconds much", "much"},
+                                                        {"demo --seconds 1", "1"}}) {
+    const Ran ran = run(arguments);
+    EXPECT_EQ(ran.code, 2) << arguments;
+    EXPECT_TRUE(has(ran.out, word)) << ran.out;
+  }
+  const Ran bare = run("");
+  EXPECT_EQ(bare.code, 2);
+  EXPECT_EQ(bare.out, "nettlestand: GW_CONFIG is not set\n");
+}
+
+TEST(CommandLine, ChecksAFile) {
+  const File good(file_for(9001)), bad("[node]\nlisten = 1\nlistne = 2\n");
+  Ran ran = run("check " + good.path);
+  EXPECT_EQ(ran.code, 0);
+  EXPECT_EQ(ran.out, good.path + ": good\n");
+  ran = run("check " + bad.path);
+  EXPECT_EQ(ran.code, 2);
+  EXPECT_TRUE(has(ran.out, bad.path + ":2:10: node.listen: is a whole number where a string belongs\n"))
+      << ran.out;
+  EXPECT_TRUE(has(ran.out, bad.path + ":3:1: unknown key 'listne' in node; did you mean 'listen'?\n"))
+      << ran.out;
+  ran = run("check /nowhere/at/all.toml");
+  EXPECT_EQ(ran.code, 2);
+  EXPECT_EQ(ran.out, "can't read /nowhere/at/all.toml\n");
+  EXPECT_EQ(run("check /tmp").code, 2) << "a folder is no file";
+  EXPECT_EQ(run("run --config " + bad.path).code, 2) << "and runs nothing on it";
+}
+
+TEST(CommandLine, RunsANodeOnAFileAlone) {
+  const Peer server, other;
+  const File file(file_for(server.port()));
+  Program node("", 1024, {"run", "--config", file.path}, false);
+  Wire caller = Wire::to(node.port());
+  until([&] {
+    caller.send("GET /healthz HTTP/1.1\r\n\r\n");
+    return has(caller.message(), " 200 ");
+  });
+  const auto served_by = [&](const Peer& peer) {
+    caller.send(request("close"));
+    Wire wire = peer.accept();
+    EXPECT_TRUE(has(wire.message(), "question"));
+    wire.send(with_length("HTTP/1.1 200 OK\r\nConnection: close\r\n", "answer"));
+    EXPECT_TRUE(has(caller.message(), "\r\n\r\nanswer"));
+  };
+  served_by(server);
+  // After SIGHUP its list of servers is what the file says now; a bad file changes nothing.
+  std::ofstream(file.path) << "[node]\nlisten = 7\n";
+  node.signal(SIGHUP);
+  EXPECT_TRUE(has(node.log("stays as it was: "), "node.listen: is a whole number"));
+  served_by(server);
+  std::ofstream(file.path) << file_for(other.port());
+  node.signal(SIGHUP);
+  until([&] {
+    caller.send(request("close"));
+    Wire wire = Peer::accept_either(server, other);
+    wire.message();
+    wire.send(with_length("HTTP/1.1 200 OK\r\nConnection: close\r\n", "answer"));
+    caller.message();
+    return wire.local_port() == other.port();
+  });
+  node.signal(SIGTERM);
+  EXPECT_EQ(node.exit_code(), 0);
+}
+
+// The platform's configuration rules; the file adds the listener's time limits to it.
+TEST(CommandLine, AddsAFileToThePlatforms) {
+  World w;
+  const File file("[node]\nlisten = \"127.0.0.1:1\"\n[listener]\nread_ms = 300\n");
+  w.node =
+      std::make_unique<Program>(w.config(), 1024, std::vector<std::string>{"run", "--config", file.path});
+  w.take_watch();
+  w.tell(list(7, true, w.both()));
+  w.await_ready();
+  const double from = seconds();
+  Wire slow = w.client();
+  slow.send("POST /api HTTP/1.1\r\nRequest-Id:");
+  EXPECT_TRUE(has(slow.message(), "HTTP/1.1 408 "));
+  EXPECT_LT(seconds() - from, 2) << "before the usual 2.2 s";
+}
+
+TEST(CommandLine, PlaysTheDemo) {
+  const Ran ran = run("demo --seconds 5");
+  EXPECT_EQ(ran.code, 0) << ran.out;
+  for (const char* words :
+       {"s0 is killed", "s1 drains", "s1 is back, cold", " served, ",
+        "kept: no request lost, no effect twice, drains obeyed, no cold server pushed over\n"}) {
+    EXPECT_TRUE(has(ran.out, words)) << ran.out;
+  }
+}
+
+}  // namespace
+}  // namespace nettlestand::testing
--- a/tests/forms/platform_options.h
+++ b/tests/forms/platform_options.h
@@ -54,7 +54,7 @@
     }
     out.servers_version = config.known->seq;
   }
-  out.discovery = text_of(config.discovery);
+  out.discovery = text_of(*config.discovery);
   out.position = s.copy_index;
   out.peers = s.copy_count;
   out.tier = s.tier;
--- a/tests/forms/restinio_service.cpp
+++ b/tests/forms/restinio_service.cpp
@@ -113,7 +113,7 @@
       if (error) return;
       await_reload();
       try {
-        if (const ns::Error moved = gateway_->move_discovery(ns::testing::text_of(load().discovery))) {
+        if (const ns::Error moved = gateway_->move_discovery(ns::testing::text_of(*load().discovery))) {
           throw std::runtime_error(moved.text);
         }
       } catch (const std::exception& problem) {
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -4,6 +4,9 @@
 #include <sys/resource.h>
 #include <sys/wait.h>
 
+#include <string>
+#include <vector>
+
 #include "tests/peers.h"
 
 namespace nettlestand::testing {
@@ -17,7 +20,9 @@
 // The node, run on a configuration.
 class Program {
  public:
-  explicit Program(const std::string& config, rlim_t descriptors = 1024) {
+  // `platform`: whether it is told of the configuration.
+  explicit Program(const std::string& config, rlim_t descriptors = 1024,
+                   const std::vector<std::string>& arguments = {}, bool platform = true) {
     static int count = 0;
     path_ = ::testing::TempDir() + "/node_" + std::to_string(getpid()) + "_" + std::to_string(++count);
     std::ofstream(path_) << config;
@@ -28,8 +33,11 @@
       dup2(ends[1], 2);
       const rlimit limit{descriptors, descriptors};
       setrlimit(RLIMIT_NOFILE, &limit);
-      setenv("GW_CONFIG", path_.c_str(), 1);
-      execl(node_binary(), node_binary(), static_cast<char*>(nullptr));
+      platform ? setenv("GW_CONFIG", path_.c_str(), 1) : unsetenv("GW_CONFIG");
+      std::vector<char*> words = {const_cast<char*>(node_binary())};
+      for (const std::string& word : arguments) words.push_back(const_cast<char*>(word.c_str()));
+      words.push_back(nullptr);
+      execv(node_binary(), words.data());
       _exit(127);
     }
     ::close(ends[1]);
