--- a/gateway/http.cpp
+++ b/gateway/http.cpp
@@ -1,5 +1,6 @@
 #include "nettlestand/http.h"
 
+#include <boost/beast/core/string.hpp>
 #include <utility>
 
 #include "gateway/impl.h"
@@ -111,6 +112,44 @@
   return public_of(answer_to(impl_->bad, impl_->gateway.engine()), true);
 }
 
+bool HttpReader::upgrades() const {
+  return impl_->reader.request().count(boost::beast::http::field::upgrade) > 0;
+}
+
+std::string HttpReader::rewritten(std::string_view lines, std::string_view without) const {
+  using boost::beast::http::field;
+  const auto& request = impl_->reader.request();
+  const bool upgrade = upgrades();
+  std::string out;
+  out.append(method()).append(" ").append(target()).append(" HTTP/1.1\r\n");
+  for (const auto& line : request) {
+    switch (line.name()) {
+      case field::content_length:
+      case field::transfer_encoding:
+      case field::trailer:
+      case field::expect:
+      case field::keep_alive:
+        continue;
+      case field::connection:
+        if (upgrade) break;
+        continue;
+      default:
+        break;
+    }
+    if (boost::beast::iequals(line.name_string(), boost::beast::string_view(without.data(), without.size())))
+      continue;
+    out.append(view(line.name_string())).append(": ").append(view(line.value())).append("\r\n");
+  }
+  out.append(lines);
+  if (!keep_alive() && !upgrade) out += "Connection: close\r\n";
+  const std::string& body = request.body();
+  if (!body.empty() || request.method() == boost::beast::http::verb::post ||
+      request.method() == boost::beast::http::verb::put) {
+    out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  }
+  return out.append("\r\n").append(body);
+}
+
 void HttpReader::forget() {
   impl_->reader.forget();
   impl_->begun = false;
--- a/include/nettlestand/http.h
+++ b/include/nettlestand/http.h
@@ -76,6 +76,13 @@
   bool call(HttpCall& out);
   // At kTurnedAway, or where call() was false.
   HttpAnswer verdict() const;
+  // At kRequest: the request as another server may read it, without a doubt where it ends: framed by a
+  // length, without what belongs to one connection but an upgrade. `lines`: further header lines, each with
+  // its line end; a client's own header of the name `without` is left out. Its body is empty once call() has
+  // taken it.
+  std::string rewritten(std::string_view lines, std::string_view without) const;
+  // Whether it asks for another protocol on its connection.
+  bool upgrades() const;
 
   void forget();
 
--- a/include/nettlestand/middleware/restinio.h
+++ b/include/nettlestand/middleware/restinio.h
@@ -302,50 +302,12 @@
     return std::string(kToken) + ": " + std::to_string(token_) + "\r\n";
   }
 
-  static bool named(std::string_view name, std::string_view as) {
-    return name.size() == as.size() && ::strncasecmp(name.data(), as.data(), as.size()) == 0;
-  }
-
-  // The request as RESTinio is to see it: framed by a length, without what belongs to one connection.
+  // The request as RESTinio is to see it. The body of one for the gateway stays here.
   void to_chain(bool ours) {
-    const std::string_view body = ours ? std::string_view() : reader_.body();
-    out_.append(reader_.method()).append(" ").append(reader_.target()).append(" HTTP/1.1\r\n");
-    bool upgrade = false;
-    for (const HttpReader::Field& field : reader_.fields()) {
-      if (named(field.name, kToken) || named(field.name, "Content-Length") ||
-          named(field.name, "Transfer-Encoding") || named(field.name, "Expect") ||
-          named(field.name, "Trailer")) {
-        continue;
-      }
-      if (named(field.name, "Connection") || named(field.name, "Upgrade")) {
-        upgrade = upgrade || (!ours && named(field.name, "Upgrade"));
-        if (ours) continue;
-      }
-      if (named(field.name, "Connection") && !has_upgrade()) continue;
-      out_.append(field.name).append(": ").append(field.value).append("\r\n");
-    }
-    if (ours) {
-      holding_ = true;
-      out_.append(token());
-    }
-    if (!reader_.keep_alive()) out_ += "Connection: close\r\n";
-    if (!body.empty() || reader_.method() == "POST" || reader_.method() == "PUT") {
-      out_ += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    }
-    out_ += "\r\n";
-    out_.append(body);
-    raw_ = upgrade;  // what follows may be another protocol
-    if (raw_) {
-      out_.append(in_);
-      in_.clear();
-    }
-  }
-
-  bool has_upgrade() const {
-    for (const HttpReader::Field& field : reader_.fields()) {
-      if (named(field.name, "Upgrade")) return true;
-    }
-    return false;
+    holding_ = ours;
+    raw_ = !ours && reader_.upgrades();  // what follows may be another protocol
+    out_ = reader_.rewritten(ours ? token() : std::string(), kToken);
+    if (raw_) out_.append(std::exchange(in_, {}));
   }
 
   // Gives RESTinio what is there for it.
--- /dev/null
+++ b/tests/forms/service.h
@@ -0,0 +1,46 @@
+// What the applications of this suite share: their configuration, their log, and the drain.
+#pragma once
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "nettlestand/drain.h"
+#include "tests/forms/platform_options.h"
+#include "util/clock.h"
+
+namespace nettlestand::testing {
+
+inline void log_line(std::string_view text) {
+  std::fprintf(stderr, "%.3f %.*s\n", now(), static_cast<int>(text.size()), text.data());
+}
+
+inline Config load() {
+  const char* path = std::getenv("GW_CONFIG");
+  if (path == nullptr) throw std::runtime_error("GW_CONFIG is not set");
+  std::ifstream in(path);
+  if (!in) throw std::runtime_error(std::string("can't read ") + path);
+  return read_config({std::istreambuf_iterator<char>(in), {}});
+}
+
+// After SIGHUP: a configuration that can't be used changes nothing.
+inline void reload(Gateway& gateway) {
+  try {
+    if (const Error moved = gateway.move_discovery(text_of(*load().discovery)))
+      throw std::runtime_error(moved.text);
+  } catch (const std::exception& problem) {
+    log_line(std::string("the configuration stays as it was: ") + problem.what());
+  }
+}
+
+inline DrainPlan plan_of(const Config& config) {
+  double longest = 0;
+  for (const auto& c : config.settings.classes) longest = std::max(longest, c.give_up);
+  return DrainPlan(config.settings.copy_count == 1, longest);
+}
+
+}  // namespace nettlestand::testing
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -50,6 +50,9 @@
       kill(child_, SIGKILL);
       waitpid(child_, nullptr, 0);
     }
+    if (::testing::Test::HasFailure()) {
+      std::fprintf(stderr, "the log of %s:\n%s", node_binary(), log("no such words: until it ends").c_str());
+    }
     ::close(log_);
     std::remove(path_.c_str());
   }
