--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -85,7 +85,7 @@
 std::unique_ptr<Gateway> Gateway::open(Options options, Error& error) {
   return make(nullptr, std::move(options), error);
 }
-std::unique_ptr<Gateway> open_on_loop(boost::asio::io_context& loop, Options options, Error& error) {
+std::unique_ptr<Gateway> open_on_loop(boost::asio::io_context& loop, Options options, Error& error, int) {
   return make(&loop, std::move(options), error);
 }
 
--- a/include/nettlestand/asio.h
+++ b/include/nettlestand/asio.h
@@ -34,12 +34,10 @@
 // A gateway on this loop, which one thread runs; the gateway's thread is that one. The loop must outlive the
 // call of the gateway's destructor. Null, and `error` says why, where Options can't be used.
 NETTLESTAND_API std::unique_ptr<Gateway> open_on_loop(boost::asio::io_context& loop, Options options,
-                                                      Error& error);
+                                                      Error& error, int built_with_boost);
 
 inline std::unique_ptr<Gateway> open_on(boost::asio::io_context& loop, Options options, Error& error) {
-  static const volatile int* const built_with = &NETTLESTAND_BUILT_WITH_BOOST;
-  (void)built_with;
-  return open_on_loop(loop, std::move(options), error);
+  return open_on_loop(loop, std::move(options), error, NETTLESTAND_BUILT_WITH_BOOST);
 }
 
 // For Options::executor: completions are posted to this executor of Asio's.
