Watch connections edge-triggered, each registered once, and read them to their end

Change: util/poller, an epoll of our own behind one descriptor on the Asio loop, and util/socket; callers' and servers' connections read until there is no more, answers are written at once and joined with small bodies; a request's caller is answered last of all, so that its next request finds the state settled.

--- a/bench/size_and_faults.py
+++ b/bench/size_and_faults.py
@@ -301,4 +301,5 @@
     {"connections": connections, "faults": faults, "large": large}[args.what](args)
 
 
-main()
+if __name__ == "__main__":
+    main()
--- a/core/engine.cpp
+++ b/core/engine.cpp
@@ -68,12 +68,11 @@
 void Engine::post(qu::Event event) {
   if (shut_) return;
   events_.push_back(std::move(event));
-  if (running_) return;
-  struct Running {
-    explicit Running(bool& flag) : flag(flag) { flag = true; }
-    ~Running() { flag = false; }
-    bool& flag;
-  } const running(running_);
+  if (!running_) drain();
+}
+
+void Engine::drain() {
+  running_ = true;
   std::vector<qu::Action> actions;
   while (!events_.empty()) {
     const qu::Event next = std::move(events_.front());
@@ -90,6 +89,7 @@
     }
     if (const auto* end = std::get_if<qu::AttemptResult>(&next)) forget_if_done(number_of(end->id));
   }
+  running_ = false;
 }
 
 std::uint64_t Engine::submit(Call call, std::shared_ptr<Caller> caller) {
@@ -106,8 +106,7 @@
   ++open_;
   // Guards against work that nobody waits for any more, where this loop was held up: it is never begun.
   if (live.call.facts.time_left <= 0) {
-    answer(live, refusal());
-    forget_if_done(number);
+    answer(number, refusal());
     return number;
   }
   live.deadline.expires_at(at(limit - reserve(live.call) * kAnswerReserve));
@@ -121,9 +120,7 @@
 void Engine::gone(std::uint64_t request) {
   Live* live = find(request);
   if (live == nullptr || !live->caller) return;
-  live->caller = nullptr;
-  --open_;
-  live->deadline.cancel();
+  release(*live);
   post(qu::RequestGone{live->call.facts.id});
   forget_if_done(request);
 }
@@ -134,10 +131,10 @@
   if (live == nullptr || !live->caller) return;
   const bool may_have_run = std::any_of(live->tries.begin(), live->tries.end(),
                                         [](const Try& attempt) { return attempt.may_have_run; });
-  const qu::RequestGone over{live->call.facts.id};
-  answer(*live, may_have_run ? Reply{kind, 0, nullptr} : refusal());
-  post(over);
+  const std::shared_ptr<Caller> caller = release(*live);
+  post(qu::RequestGone{live->call.facts.id});
   forget_if_done(request);
+  caller->answered(may_have_run ? Reply{kind, 0, nullptr} : refusal());
 }
 
 Reply Engine::refusal() const {
@@ -221,14 +218,21 @@
   }
 }
 
-// The only way to a final answer; whatever comes second is dropped here.
-bool Engine::answer(Live& live, Reply&& reply) {
-  if (!live.caller) return false;
-  const std::shared_ptr<Caller> caller = std::exchange(live.caller, nullptr);
+// The only way to a final answer: whoever takes the caller answers it, and whatever comes second finds none.
+// It is answered last of all, since it may have its next request there.
+std::shared_ptr<Caller> Engine::release(Live& live) {
+  if (!live.caller) return nullptr;
   --open_;
   live.deadline.cancel();
-  caller->answered(std::move(reply));
-  return true;
+  return std::exchange(live.caller, nullptr);
+}
+
+void Engine::answer(std::uint64_t request, Reply&& reply) {
+  Live* live = find(request);
+  if (live == nullptr) return;
+  const std::shared_ptr<Caller> caller = release(*live);
+  forget_if_done(request);
+  if (caller) caller->answered(std::move(reply));
 }
 
 void Engine::ended(const AttemptId& attempt, qu::Outcome outcome, std::unique_ptr<Cargo> cargo) {
@@ -237,14 +241,9 @@
   Try& done = live->tries[static_cast<std::size_t>(attempt.attempt)];
   done.open = false;
   done.may_have_run = !never_ran(outcome);
-  const qu::AttemptResult result{live->call.facts.id, attempt.attempt, outcome, now() - done.sent_at, false};
-  if (outcome == qu::Outcome::kDelivered) {
-    answer(*live, {Reply::Kind::kServed, 0, std::move(cargo)});
-    live = find(attempt.request);  // its caller may have asked for anything
-  }
-  qu::AttemptResult told = result;
-  told.request_done = live == nullptr || !live->caller;
-  post(std::move(told));
+  const auto caller = outcome == qu::Outcome::kDelivered ? release(*live) : nullptr;
+  post(qu::AttemptResult{live->call.facts.id, attempt.attempt, outcome, now() - done.sent_at, !live->caller});
+  if (caller) caller->answered({Reply::Kind::kServed, 0, std::move(cargo)});
 }
 
 void Engine::arriving(const AttemptId& attempt, const Progress& p) {
@@ -266,18 +265,10 @@
 }
 
 void Engine::run(const qu::Refuse& action) {
-  Live* live = find(number_of(action.id));
-  if (live == nullptr) return;
-  answer(*live, {Reply::Kind::kRefused, action.retry_after, nullptr});
-  forget_if_done(number_of(action.id));
+  answer(number_of(action.id), {Reply::Kind::kRefused, action.retry_after, nullptr});
 }
 
-void Engine::run(const qu::Fail& action) {
-  Live* live = find(number_of(action.id));
-  if (live == nullptr) return;
-  answer(*live, {Reply::Kind::kFailed, 0, nullptr});
-  forget_if_done(number_of(action.id));
-}
+void Engine::run(const qu::Fail& action) { answer(number_of(action.id), {Reply::Kind::kFailed, 0, nullptr}); }
 
 void Engine::run(const qu::Cancel& action) {
   transport_.stop({number_of(action.id), action.attempt}, qu::Outcome::kCancelled);
--- a/core/engine.h
+++ b/core/engine.h
@@ -118,6 +118,7 @@
   void take(const ServerList& list);
   void count(const ServerList& list);
   void post(quinceusher::Event event);
+  void drain();
   void run(const quinceusher::Send& action);
   void run(const quinceusher::Refuse& action);
   void run(const quinceusher::Fail& action);
@@ -128,7 +129,8 @@
   void run(const quinceusher::LogLine& action);
   Live* find(std::uint64_t request);
   void expire(std::uint64_t request, Reply::Kind kind);
-  bool answer(Live& live, Reply&& reply);
+  std::shared_ptr<Caller> release(Live& live);
+  void answer(std::uint64_t request, Reply&& reply);
   void forget_if_done(std::uint64_t request);
 
   boost::asio::io_context& io_;
--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -39,13 +39,14 @@
       sockets_(config.sockets - kOtherSockets),
       plan_(config.settings.copy_count == 1, longest_deadline(config.settings)),
       budget_(config.memory_mb * 1024 * 1024 / kBodyPart),
-      upstream_(io_, {config.connect_timeout, config.idle_close, sockets_ * 9 / 20}, budget_, log_),
+      poller_(io_),
+      upstream_(io_, poller_, {config.connect_timeout, config.idle_close, sockets_ * 9 / 20}, budget_, log_),
       engine_(io_, {config.settings, config.seed, config.most_servers(), config.known}, upstream_, log_,
               [this] {
                 if (discovery_) discovery_->watch();
               }),
-      listener_(io_, config.listen, Intake(config.settings, config.classes, config.tenants), engine_, budget_,
-                sockets_ * 11 / 20, config.listener, log_),
+      listener_(io_, poller_, config.listen, Intake(config.settings, config.classes, config.tenants), engine_,
+                budget_, sockets_ * 11 / 20, config.listener, log_),
       signals_(io_, SIGTERM, SIGINT),
       reload_(io_, SIGHUP),
       look_(io_) {
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -15,6 +15,7 @@
 #include "nettlestand/drain.h"
 #include "util/budget.h"
 #include "util/log.h"
+#include "util/poller.h"
 
 namespace nettlestand {
 
@@ -40,6 +41,7 @@
   const DrainPlan plan_;
   std::optional<Discovery> discovery_;
   ByteBudget budget_;
+  Poller poller_;
   Upstream upstream_;
   Engine engine_;
   Listener listener_;
--- a/gateway/impl.cpp
+++ b/gateway/impl.cpp
@@ -54,7 +54,8 @@
       loop_(loop == nullptr ? *own_ : *loop),
       intake_(checked_.engine.settings, checked_.classes, checked_.tenants),
       budget_(options_.memory / kBodyPart),
-      upstream_(loop_,
+      poller_(loop_),
+      upstream_(loop_, poller_,
                 {std::chrono::duration<double>(options_.connect_timeout).count(),
                  std::chrono::duration<double>(options_.idle_close).count(), options_.sockets},
                 budget_, [this](const std::string& text) { log(text); }),
@@ -131,6 +132,7 @@
   last_answers_.cancel();
   if (discovery_) discovery_->shut();
   engine_.shut();
+  poller_.shut();
   if (stopped_) post_task(std::exchange(stopped_, nullptr));
 }
 
--- a/gateway/impl.h
+++ b/gateway/impl.h
@@ -22,6 +22,7 @@
 #include "nettlestand/http.h"
 #include "util/budget.h"
 #include "util/endpoint.h"
+#include "util/poller.h"
 
 namespace nettlestand {
 
@@ -90,6 +91,7 @@
   std::thread thread_;
   const Intake intake_;
   ByteBudget budget_;
+  Poller poller_;
   std::optional<Discovery> discovery_;
   Upstream upstream_;
   Engine engine_;
--- a/http/listener.cpp
+++ b/http/listener.cpp
@@ -1,9 +1,8 @@
 #include "http/listener.h"
 
-#include <sys/socket.h>
-
-#include <boost/asio/write.hpp>
-#include <boost/beast/http.hpp>
+#include <algorithm>
+#include <boost/beast/http/verb.hpp>
+#include <cerrno>
 #include <cstdio>
 #include <exception>
 #include <string>
@@ -24,6 +23,7 @@
 
 constexpr std::size_t kOtherLimit = 64 * 1024;    // bytes of a body that is not for /api
 constexpr std::size_t kEarlyLimit = 8 * 1024;     // bytes kept of a next request while one is being answered
+constexpr std::size_t kJoined = 4 * 1024;         // bytes of a body that are copied behind its head
 constexpr std::size_t kEndingLimit = 256 * 1024;  // bytes thrown away after the last answer
 constexpr double kEndingLimitS = 1;               // s for a client to close after its last answer
 constexpr double kYoung = 0.25;     // s in which a new connection or a request being read is not evicted
@@ -33,9 +33,11 @@
 
 }  // namespace
 
-class Listener::Connection final : public std::enable_shared_from_this<Connection>, public Caller {
+class Listener::Connection final : public std::enable_shared_from_this<Connection>,
+                                   public Caller,
+                                   public Poller::Watcher {
  public:
-  Connection(Listener& listener, tcp::socket socket)
+  Connection(Listener& listener, Socket socket)
       : listener_(listener),
         socket_(std::move(socket)),
         reader_(listener.intake_, listener.budget_, kOtherLimit) {
@@ -46,8 +48,9 @@
   Connection& operator=(const Connection&) = delete;
 
   void start() {
+    watched_ = listener_.poller_.add(socket_.descriptor(), *this);
+    if (watched_ == 0) return;
     enter(State::kFresh);
-    wait_readable();
   }
 
   // Closes it unless a request is being read, waits or is being answered.
@@ -55,7 +58,7 @@
     if (state_ != State::kIdle && state_ != State::kFresh) return false;
     char byte = 0;
     // What has come and is not read yet is a request that this machine has taken.
-    if (::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0) return false;
+    if (socket_.read(&byte, 1, MSG_PEEK) > 0) return false;
     close();
     return true;
   }
@@ -65,8 +68,7 @@
     if (now() - (used_ ? since_ : connected_at_) < limit) return false;
     static constexpr std::string_view kSlow =
         "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-    error_code ignored;
-    if (state_ == State::kReading) socket_.write_some(asio::buffer(kSlow.data(), kSlow.size()), ignored);
+    if (state_ == State::kReading) socket_.write(kSlow, {});
     close();
     return true;
   }
@@ -74,9 +76,10 @@
   void close() {
     if (state_ == State::kClosed) return;
     const bool waiting = state_ == State::kWaiting;
+    const auto self = weak_from_this().lock();
     enter(State::kClosed);
-    error_code ignored;
-    socket_.close(ignored);
+    listener_.poller_.remove(watched_, socket_.descriptor());
+    socket_.close();
     reader_.forget();
     if (waiting) listener_.engine_.gone(request_);
     listener_.closed();
@@ -130,42 +133,56 @@
     }
   }
 
-  // One wait is out at any time, also while a request waits for its answer: only so is it noticed that a
-  // client leaves.
-  void wait_readable() {
-    if (waiting_ || state_ == State::kClosed) return;
-    waiting_ = true;
-    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
-      self->waiting_ = false;
-      if (self->state_ == State::kClosed) return;
-      if (error) return self->close();
-      self->guarded([&] { self->read(); });
+  void ready(std::uint32_t events) override {
+    const auto self = shared_from_this();
+    guarded([&] {
+      if ((events & EPOLLOUT) != 0 && state_ == State::kWriting) write();
+      if ((events & ~static_cast<std::uint32_t>(EPOLLOUT)) != 0)
+        read((events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0);
     });
   }
 
-  void read() {
-    if (busy(state_) && in_.size() >= kEarlyLimit) return;
-    error_code error;
-    const std::size_t got = socket_.read_some(asio::buffer(listener_.scratch_), error);
-    if (error == asio::error::would_block) return wait_readable();
-    if (error) return close();
-    if (state_ == State::kEnding) {
-      if ((thrown_away_ += got) > kEndingLimit) return close();
-      return wait_readable();
-    }
-    in_.append(listener_.scratch_.data(), got);
-    if (busy(state_)) return wait_readable();  // the next request's bytes are kept
-    if (state_ != State::kReading) {
-      came_at_ = now();
-      enter(State::kReading);
+  // Reads what is there, also while a request waits for its answer: only so is it noticed that a client
+  // leaves. `to_its_end`: the client has ended its side, and what is left must be read up to that.
+  void read(bool to_its_end) {
+    while (state_ != State::kClosed) {
+      // Guards the memory: so much is kept of a next request, and the rest is read when this one is answered.
+      paused_ = busy(state_) && in_.size() >= kEarlyLimit;
+      if (paused_) return;
+      const ssize_t got = socket_.read(listener_.scratch_.data(), listener_.scratch_.size());
+      if (got < 0 && Socket::would_block()) return;
+      if (got <= 0) return close();
+      const auto size = static_cast<std::size_t>(got);
+      if (state_ == State::kEnding) {
+        if ((thrown_away_ += size) > kEndingLimit) return close();
+        continue;
+      }
+      in_.append(listener_.scratch_.data(), size);
+      if (!busy(state_)) {  // else the next request's bytes are kept
+        if (state_ != State::kReading) {
+          came_at_ = now();
+          enter(State::kReading);
+        }
+        go_on();
+      }
+      if (size < listener_.scratch_.size() && !to_its_end) return;  // that was all; more makes it ready again
     }
-    parse();
+  }
+
+  // Reads requests out of what has come, until one waits or more is needed. Not by recursion: answers that
+  // are there at once would nest.
+  void go_on() {
+    more_ = true;
+    if (going_on_) return;
+    going_on_ = true;
+    while (std::exchange(more_, false) && state_ == State::kReading) parse();
+    going_on_ = false;
   }
 
   void parse() {
     switch (reader_.read(in_)) {
       case RequestReader::Step::kMore:
-        return wait_readable();
+        return;
       case RequestReader::Step::kTurnedAway:
         return turn_away(reader_.verdict());
       case RequestReader::Step::kHead:
@@ -173,8 +190,7 @@
         if (reader_.is_call() && listener_.engine_.knows(reader_.client_id())) return turn_away(kOpenId);
         if (reader_.expects_continue()) {
           static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-          error_code ignored;
-          socket_.write_some(asio::buffer(kContinue.data(), kContinue.size()), ignored);
+          socket_.write(kContinue, {});
         }
         return parse();
       case RequestReader::Step::kRequest:
@@ -205,7 +221,6 @@
     if (listener_.crowded()) return turn_away({503, nullptr});
     enter(State::kWaiting);
     request_ = 0;
-    wait_readable();
     request_ = listener_.engine_.submit(std::move(call), shared_from_this());
   }
 
@@ -221,12 +236,26 @@
     answer_ = std::move(final);
     if (std::exchange(head_only_, false)) answer_.body.clear();
     enter(State::kWriting);
-    const std::array<asio::const_buffer, 2> parts = {asio::buffer(head_), asio::buffer(answer_.body)};
-    asio::async_write(socket_, parts, [self = shared_from_this()](const error_code& error, std::size_t) {
-      if (self->state_ != State::kWriting) return;
-      if (error) return self->close();
-      self->guarded([&] { self->written(); });
-    });
+    written_ = 0;
+    if (answer_.body.size() <= kJoined) {  // one part is written quicker than two
+      head_ += answer_.body;
+      answer_.body.clear();
+    }
+    write();
+  }
+
+  void write() {
+    const std::size_t all = head_.size() + answer_.body.size();
+    while (written_ < all) {
+      const std::size_t of_body = written_ < head_.size() ? 0 : written_ - head_.size();
+      const std::string_view head =
+          of_body > 0 ? std::string_view() : std::string_view(head_).substr(std::min(written_, head_.size()));
+      const ssize_t sent = socket_.write(head, std::string_view(answer_.body).substr(of_body));
+      if (sent < 0 && Socket::would_block()) return;  // it gets ready for more
+      if (sent <= 0) return close();
+      written_ += static_cast<std::size_t>(sent);
+    }
+    written();
   }
 
   void written() {
@@ -236,40 +265,43 @@
     if (close_after_ || listener_.finishing_) {
       // Guards the answer: closing over unread bytes resets the connection and may take the answer with it.
       // So what still comes is thrown away for a while.
-      error_code ignored;
-      socket_.shutdown(tcp::socket::shutdown_send, ignored);
+      socket_.shutdown_send();
       std::string().swap(in_);
       enter(State::kEnding);
-      return wait_readable();
+      return read(true);
     }
     if (in_.empty()) {
       std::string().swap(in_);
       enter(State::kIdle);
-      return wait_readable();
+    } else {
+      came_at_ = now();
+      enter(State::kReading);
+      go_on();
     }
-    came_at_ = now();
-    enter(State::kReading);
-    parse();
+    if (std::exchange(paused_, false)) read(true);
   }
 
   Listener& listener_;
-  tcp::socket socket_;
+  Socket socket_;
+  Poller::Key watched_ = 0;
   RequestReader reader_;
   State state_ = State::kNew;
-  bool listed_ = false, waiting_ = false, head_only_ = false, close_after_ = false;
+  bool listed_ = false, head_only_ = false, close_after_ = false;
+  bool paused_ = false, going_on_ = false, more_ = false;
   bool used_ = false;  // has had an answer
   Order::iterator place_;
   double since_ = 0, came_at_ = 0;
   const double connected_at_ = now();
   std::uint64_t request_ = 0;
-  std::size_t head_bytes_ = 0, thrown_away_ = 0;
+  std::size_t written_ = 0, thrown_away_ = 0;
   std::string in_, head_;
   Answer answer_;
 };
 
-Listener::Listener(asio::io_context& io, const tcp::endpoint& address, Intake intake, Engine& engine,
-                   ByteBudget& budget, std::size_t most_connections, const ListenerLimits& limits, Log log)
-    : io_(io),
+Listener::Listener(asio::io_context& io, Poller& poller, const tcp::endpoint& address, Intake intake,
+                   Engine& engine, ByteBudget& budget, std::size_t most_connections,
+                   const ListenerLimits& limits, Log log)
+    : poller_(poller),
       engine_(engine),
       budget_(budget),
       log_(std::move(log)),
@@ -303,13 +335,11 @@
         full_ = true;
         return;  // the next one that closes accepts
       }
-      error_code failed;
-      tcp::socket socket(io_);
-      acceptor_.accept(socket, failed);
-      if (failed == asio::error::would_block || failed == asio::error::connection_aborted) break;
-      if (failed) return accept_later();  // no descriptor left, most likely
+      if (!accept_one()) {
+        if (Socket::would_block() || errno == ECONNABORTED) break;
+        return accept_later();  // no descriptor left, most likely
+      }
       full_ = false;
-      adopt(std::move(socket));
     }
     accept();
   });
@@ -323,16 +353,17 @@
   });
 }
 
-void Listener::adopt(tcp::socket socket) {
-  error_code error;
-  socket.set_option(tcp::no_delay(true), error);
-  socket.non_blocking(true, error);
-  if (error) return;
+// False with errno where there is none.
+bool Listener::accept_one() {
+  const int descriptor = ::accept4(acceptor_.native_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (descriptor < 0) return false;
+  Socket socket(descriptor);
   try {
     std::make_shared<Connection>(*this, std::move(socket))->start();
   } catch (const std::exception& problem) {
     log_(std::string("a caller's connection is not taken: ") + problem.what());
   }
+  return true;
 }
 
 void Listener::closed() {
@@ -397,10 +428,7 @@
 }
 
 void Listener::stop_accepting() {
-  for (error_code error; !error;) {
-    tcp::socket socket(io_);
-    acceptor_.accept(socket, error);
-    if (!error) adopt(std::move(socket));
+  while (accept_one()) {
   }
   error_code ignored;
   acceptor_.close(ignored);
--- a/http/listener.h
+++ b/http/listener.h
@@ -12,6 +12,8 @@
 #include "http/intake.h"
 #include "util/budget.h"
 #include "util/log.h"
+#include "util/poller.h"
+#include "util/socket.h"
 
 namespace nettlestand {
 
@@ -27,9 +29,9 @@
   class Connection;
 
   // Throws boost::system::system_error when the address can't be listened on.
-  Listener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, Intake intake,
-           Engine& engine, ByteBudget& budget, std::size_t most_connections, const ListenerLimits& limits,
-           Log log);
+  Listener(boost::asio::io_context& io, Poller& poller, const boost::asio::ip::tcp::endpoint& address,
+           Intake intake, Engine& engine, ByteBudget& budget, std::size_t most_connections,
+           const ListenerLimits& limits, Log log);
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
@@ -46,13 +48,13 @@
 
   void accept();
   void accept_later();
-  void adopt(boost::asio::ip::tcp::socket socket);
+  bool accept_one();
   bool make_room();
   void closed();
   void sweep();
   bool crowded() const { return busy_ > most_ - most_ / 8; }
 
-  boost::asio::io_context& io_;
+  Poller& poller_;
   Engine& engine_;
   ByteBudget& budget_;
   const Log log_;
--- a/http/upstream.cpp
+++ b/http/upstream.cpp
@@ -1,7 +1,5 @@
 #include "http/upstream.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http.hpp>
@@ -36,12 +34,12 @@
 }  // namespace
 
 // One connection and, while it carries one, the attempt on it.
-class Upstream::Connection : public std::enable_shared_from_this<Connection> {
+class Upstream::Connection final : public std::enable_shared_from_this<Connection>, public Poller::Watcher {
  public:
   enum class State { kConnecting, kWriting, kReading, kParked, kClosed };
 
   Connection(Upstream& pool, std::string server, std::uint64_t generation)
-      : pool_(pool), server(std::move(server)), generation(generation), socket_(pool.io_), timer_(pool.io_) {
+      : pool_(pool), server(std::move(server)), generation(generation), timer_(pool.io_) {
     ++pool_.open_;
   }
   ~Connection() {
@@ -66,20 +64,39 @@
   }
 
   void connect(const tcp::endpoint& to) {
-    error_code error;
-    socket_.open(to.protocol(), error);
-    if (error) return end(Outcome::kNotSent, false);  // no descriptor left: nothing to do with the server
-    socket_.set_option(tcp::no_delay(true), error);
-    socket_.non_blocking(true, error);
+    const int failed = socket_.connect(to);
+    // No descriptor left: nothing to do with the server.
+    if (!socket_.opened()) return end(Outcome::kNotSent, false);
+    if (failed != 0) return end(Outcome::kDialFailed, false);
+    watched_ = pool_.poller_.add(socket_.descriptor(), *this);
+    if (watched_ == 0) return end(Outcome::kNotSent, false);
     arm_timer(std::min(give_up_at_, now() + pool_.connect_timeout_));
-    socket_.async_connect(to, [self = shared_from_this()](const error_code& failed) {
-      if (self->state != State::kConnecting) return;
-      if (Server* known = self->pool_.find(self->server)) known->connecting.erase(self);
-      if (failed) return self->end(Outcome::kDialFailed, false);
-      self->guarded([&] { self->stale() ? self->end_unwritten() : self->start_writing(); });
+  }
+
+  void ready(std::uint32_t events) override {
+    const auto self = shared_from_this();
+    const bool readable = (events & ~static_cast<std::uint32_t>(EPOLLOUT)) != 0;
+    const bool ended = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+    guarded([&] {
+      if (state == State::kConnecting) return connected();
+      const bool parked = state == State::kParked;
+      if (state == State::kWriting && (events & EPOLLOUT) != 0) write();
+      if (state == State::kWriting && readable && stale()) return end_unwritten();
+      if (state == State::kReading && readable) read(ended);
+      // What a server says on a parked connection, also its end, is of no use to anybody.
+      if (state == State::kParked && (parked ? readable && stale() : ended)) {
+        pool_.unpark(self);
+        close();
+      }
     });
   }
 
+  void connected() {
+    if (Server* known = pool_.find(server)) known->connecting.erase(shared_from_this());
+    if (socket_.error() != 0) return end(Outcome::kDialFailed, false);
+    stale() ? end_unwritten() : start_writing();
+  }
+
   void start_writing() {
     state = State::kWriting;
     arm_timer(give_up_at_);
@@ -99,8 +116,7 @@
   // Whether the server has closed it, or has said what nobody asked for.
   bool stale() {
     char byte = 0;
-    const ssize_t got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    return socket_.read(&byte, 1, MSG_PEEK) >= 0 || !Socket::would_block();
   }
 
   // Ends the attempt, if there is one, and with it the connection unless it may be kept.
@@ -139,8 +155,8 @@
     if (state != State::kClosed) --pool_.open_;
     state = State::kClosed;
     carries_ = false;
-    error_code ignored;
-    socket_.close(ignored);
+    pool_.poller_.remove(watched_, socket_.descriptor());
+    socket_.close();
     timer_.cancel();
   }
 
@@ -184,33 +200,21 @@
                                      length ? static_cast<double>(*length) : 0});
   }
 
-  // The writing is done here and not by a composed operation, which would tell of the last byte only later:
-  // in between, a time-out would take a request that is out for one that is not.
+  // Until all of it is written: only then may it run.
   void write() {
     const std::size_t head = out_.size(), all = head + request_->body.size();
     for (bool first = written_ == 0; written_ < all; first = false) {
       if (!first && stale()) return end_unwritten();
-      const std::string_view rest = std::string_view(written_ < head ? out_ : request_->body)
-                                        .substr(written_ < head ? written_ : written_ - head);
-      error_code error;
-      const std::array<asio::const_buffer, 2> parts = {
-          asio::buffer(rest.data(), rest.size()),
-          written_ < head ? asio::buffer(request_->body) : asio::const_buffer()};
-      written_ += socket_.write_some(parts, error);
-      if (error == asio::error::would_block) {
-        socket_.async_wait(tcp::socket::wait_write,
-                           [self = shared_from_this(), serial = serial_](const error_code& failed) {
-                             if (self->state != State::kWriting || serial != self->serial_) return;
-                             if (failed) return self->end(Outcome::kDialFailed, false);
-                             self->guarded([&] { self->write(); });
-                           });
-        return wait_readable();
-      }
-      if (error) return end_unwritten();
+      const std::size_t of_body = written_ < head ? 0 : written_ - head;
+      const std::string_view rest =
+          written_ < head ? std::string_view(out_).substr(written_) : std::string_view();
+      const ssize_t sent = socket_.write(rest, std::string_view(request_->body).substr(of_body));
+      if (sent < 0 && Socket::would_block()) return;  // it gets ready for more
+      if (sent <= 0) return end_unwritten();
+      written_ += static_cast<std::size_t>(sent);
     }
-    std::string().swap(out_);
+    out_.clear();
     state = State::kReading;
-    wait_readable();
   }
 
   // Guards against taking for an answer what a server said before it had the request. Without its last byte
@@ -218,36 +222,29 @@
   // counts.
   void end_unwritten() {
     error_code error;
-    const std::size_t got = socket_.read_some(asio::buffer(pool_.scratch_), error);
-    if (!error) parser_->put(asio::buffer(pool_.scratch_.data(), got), error);
+    const ssize_t got = socket_.read(pool_.scratch_.data(), pool_.scratch_.size());
+    if (got > 0) parser_->put(asio::buffer(pool_.scratch_.data(), static_cast<std::size_t>(got)), error);
     const bool turned_away = parser_->is_header_done() && head_came() && told_ == Outcome::kRejected;
     end(turned_away ? Outcome::kRejected : Outcome::kDialFailed, false);
   }
 
-  // At most one wait is out; it stays out while the connection is parked and is taken over by the next use.
-  void wait_readable() {
-    if (waiting_ || state == State::kClosed) return;
-    waiting_ = true;
-    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
-      self->waiting_ = false;
-      if (self->state == State::kParked) {
-        self->pool_.unpark(self);
-        self->close();
-      } else if (self->state == State::kReading) {
-        if (error) return self->end(Outcome::kReset, false);
-        self->guarded([&] { self->read(); });
-      } else if (self->state == State::kWriting) {
-        self->guarded([&] { self->stale() ? self->end_unwritten() : self->wait_readable(); });
-      }
-    });
+  // `to_its_end`: the server has ended its side, and what is left must be read up to that.
+  void read(bool to_its_end) {
+    const std::uint64_t serial = serial_;
+    while (state == State::kReading && serial == serial_) {
+      const ssize_t got = socket_.read(pool_.scratch_.data(), pool_.scratch_.size());
+      if (got < 0 && Socket::would_block()) return;
+      if (got <= 0)
+        return end(Outcome::kReset, false);  // an answer without a length ends here too: perhaps cut
+      const auto size = static_cast<std::size_t>(got);
+      in_.append(pool_.scratch_.data(), size);
+      parse();
+      if (size < pool_.scratch_.size() && !to_its_end) return;  // that was all; more makes it ready again
+    }
   }
 
-  void read() {
+  void parse() {
     error_code error;
-    const std::size_t got = socket_.read_some(asio::buffer(pool_.scratch_), error);
-    if (error == asio::error::would_block) return wait_readable();
-    if (error) return end(Outcome::kReset, false);  // an answer without a length ends here too: perhaps cut
-    in_.append(pool_.scratch_.data(), got);
     std::size_t from = 0;
     while (from < in_.size() && !parser_->is_done()) {
       const bool in_head = !parser_->is_header_done();
@@ -275,7 +272,6 @@
     in_.erase(0, from);
     if (parser_->is_done()) return end(told_, keep_alive_ && in_.empty());
     last_byte_at_ = now();
-    wait_readable();
     if (arriving_since_ == 0 && parser_->is_header_done()) {
       arriving_since_ = last_byte_at_;
       tell_progress();
@@ -327,12 +323,11 @@
   State state = State::kConnecting;
   double parked_at = 0;
   std::list<std::shared_ptr<Connection>>::iterator place;  // among all that are parked
-  void stay_readable() { wait_readable(); }
 
  private:
-  tcp::socket socket_;
+  Socket socket_;
+  Poller::Key watched_ = 0;
   asio::steady_timer timer_;
-  bool waiting_ = false;
   std::string in_, out_;  // out: the head of the request
   std::size_t written_ = 0, head_bytes_ = 0;
   int interim_ = 0;
@@ -350,8 +345,10 @@
   std::string content_type_;
 };
 
-Upstream::Upstream(asio::io_context& io, const UpstreamOptions& options, ByteBudget& budget, Log log)
+Upstream::Upstream(asio::io_context& io, Poller& poller, const UpstreamOptions& options, ByteBudget& budget,
+                   Log log)
     : io_(io),
+      poller_(poller),
       budget_(budget),
       log_(std::move(log)),
       connect_timeout_(options.connect_timeout),
@@ -455,7 +452,6 @@
   connection->parked_at = now();
   connection->place = parked_.insert(parked_.end(), connection);
   known->parked.push_back(connection);
-  connection->stay_readable();
 }
 
 void Upstream::unpark(const std::shared_ptr<Connection>& connection) {
--- a/http/upstream.h
+++ b/http/upstream.h
@@ -19,6 +19,8 @@
 #include "quinceusher/balancer.h"
 #include "util/budget.h"
 #include "util/log.h"
+#include "util/poller.h"
+#include "util/socket.h"
 
 namespace nettlestand {
 
@@ -33,7 +35,8 @@
  public:
   class Connection;
 
-  Upstream(boost::asio::io_context& io, const UpstreamOptions& options, ByteBudget& budget, Log log);
+  Upstream(boost::asio::io_context& io, Poller& poller, const UpstreamOptions& options, ByteBudget& budget,
+           Log log);
   ~Upstream() override;
 
   void attach(Sink& sink) override { sink_ = &sink; }
@@ -66,6 +69,7 @@
   static void stop_connecting(const Server& server, std::vector<AttemptId>& stopped);
 
   boost::asio::io_context& io_;
+  Poller& poller_;
   ByteBudget& budget_;
   const Log log_;
   Sink* sink_ = nullptr;
--- a/tests/library/gateway_test.cpp
+++ b/tests/library/gateway_test.cpp
@@ -192,11 +192,12 @@
   until([&] { return gateway->ready(); });
   Answers answers;
   const auto serves = [&](const Peer& peer) {
+    const std::size_t before = answers.count();
     gateway->submit(request("close"), answers.next());
     Wire wire = peer.accept();
     wire.message();
     wire.send(ok());
-    EXPECT_EQ(answers.wait(answers.count() + 1).back().second.outcome, Outcome::kServed);
+    EXPECT_EQ(answers.wait(before + 1).back().second.outcome, Outcome::kServed);
   };
   serves(a);
   EXPECT_FALSE(gateway->move_discovery("127.0.0.1:" + std::to_string(elsewhere.port())));
