Read a request's headers in one pass, its fields into an arena

Change: the lines that mean something are found in one pass over the head; parsers take fields from an arena that the next message gives back; names are looked up without a copy, a client's id is held once.

--- a/core/engine.cpp
+++ b/core/engine.cpp
@@ -101,8 +101,8 @@
   const double limit = call.came_at + call.timeout;
   call.facts.id = std::to_string(number);
   call.facts.time_left = limit - reserve(call) - now();
-  client_ids_.insert(call.client_id);
   Live& live = live_.try_emplace(number, io_, std::move(call), std::move(caller)).first->second;
+  client_ids_.insert(live.call.client_id);
   ++open_;
   // Guards against work that nobody waits for any more, where this loop was held up: it is never begun.
   if (live.call.facts.time_left <= 0) {
@@ -154,8 +154,8 @@
   for (const auto& [number, live] : live_) open.push_back(number);
   for (const std::uint64_t number : open) expire(number, Reply::Kind::kShutDown);
   transport_.shut();
-  live_.clear();
   client_ids_.clear();
+  live_.clear();
 }
 
 void Engine::list_came(const ServerList& list) {
--- a/core/engine.h
+++ b/core/engine.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -76,7 +77,7 @@
   std::uint64_t submit(Call call, std::shared_ptr<Caller> caller);
 
   // Whether a request with this client's id is open, or has attempts out.
-  bool knows(const std::string& client_id) const { return client_ids_.contains(client_id); }
+  bool knows(std::string_view client_id) const { return client_ids_.contains(client_id); }
 
   // The client has gone away: nothing more is owed.
   void gone(std::uint64_t request);
@@ -140,8 +141,8 @@
   const Log log_;
   const std::function<void()> watch_;
   LiveMap live_;
-  std::unordered_set<std::string> client_ids_;  // of all that is in live_
-  std::unordered_set<std::string> listed_;      // the names of all servers, ready or leaving
+  std::unordered_set<std::string_view> client_ids_;  // of all that is in live_, and views into it
+  std::unordered_set<std::string> listed_;           // the names of all servers, ready or leaving
   std::deque<quinceusher::Event> events_;
   std::uint64_t last_timer_ = 0;
   std::unordered_map<std::uint64_t, boost::asio::steady_timer> timers_;
--- a/gateway/convert.cpp
+++ b/gateway/convert.cpp
@@ -218,10 +218,11 @@
   if (request.timeout.count() > 0) set("Request-Timeout-Ms", std::to_string(request.timeout.count()));
   if (request.work.count() > 0) set("Work-Hint", std::to_string(request.work.count()));
   if (request.is_repeat) set("Client-Retry", "1");
-  Intake::check_address(head);
+  const Intake::Lines lines(head);
+  Intake::check_address(head, lines);
   if (request.target.empty() || request.target.front() != '/') throw BadRequest{400, "bad target"};
   auto forward = std::make_shared<Forward>();
-  Call out = intake.read(head, *forward);
+  Call out = intake.read(head, lines, *forward);
   forward->claim = Claim(budget);
   // Guards the memory limit: answers need room too, so requests leave half of the budget to them.
   if (!forward->claim.grow_to(request.body.size(), budget.size() / 2))
--- a/http/intake.cpp
+++ b/http/intake.cpp
@@ -19,11 +19,27 @@
 constexpr std::size_t kLongestName = 128;     // bytes of an id or a key
 constexpr std::size_t kLongestTarget = 2048;  // bytes
 
-// The headers with a meaning here, one of each at most; they go on to the server, but for the time.
-constexpr std::array kOwn = {"Request-Id",      "Request-Class", "Tenant",    "Request-Timeout-Ms",
-                             "Idempotency-Key", "Client-Retry",  "Work-Hint", "Request-Info"};
-// The others that go on. Whatever else came says nothing to a server, or belongs to the one connection.
-constexpr std::array kPassedOn = {"Host", "Cookie", "Content-Type"};
+// What the lines are called; those up to kRequestInfo are the protocol's own.
+constexpr std::array<std::string_view, Intake::kLines> kNames = {"Request-Id",
+                                                                 "Request-Class",
+                                                                 "Tenant",
+                                                                 "Request-Timeout-Ms",
+                                                                 "Idempotency-Key",
+                                                                 "Client-Retry",
+                                                                 "Work-Hint",
+                                                                 "Request-Info",
+                                                                 "Host",
+                                                                 "Cookie",
+                                                                 "Content-Type",
+                                                                 "Content-Length",
+                                                                 "Transfer-Encoding",
+                                                                 "Expect"};
+// Those that go on to the server, in this order; but for the time, which the transport writes. Whatever else
+// came says nothing to a server, or belongs to the one connection.
+constexpr std::array kPassedOn = {
+    Intake::kHost,   Intake::kCookie,         Intake::kContentType, Intake::kRequestId, Intake::kRequestClass,
+    Intake::kTenant, Intake::kIdempotencyKey, Intake::kClientRetry, Intake::kWorkHint,  Intake::kRequestInfo};
+constexpr std::size_t kUsualHead = 512;  // bytes
 
 // Letters, digits and these others (RFC 3986).
 constexpr std::array<bool, 256> bytes_of(std::string_view others) {
@@ -73,18 +89,43 @@
   return out;
 }
 
-void forward(const Intake::Head& head, Forward& out) {
+Intake::Line line_of(const Intake::Head::value_type& field) {
+  switch (field.name()) {
+    case http::field::host:
+      return Intake::kHost;
+    case http::field::cookie:
+      return Intake::kCookie;
+    case http::field::content_type:
+      return Intake::kContentType;
+    case http::field::content_length:
+      return Intake::kContentLength;
+    case http::field::transfer_encoding:
+      return Intake::kTransferEncoding;
+    case http::field::expect:
+      return Intake::kExpect;
+    case http::field::unknown:
+      break;
+    default:
+      return Intake::kLines;
+  }
+  const auto name = field.name_string();
+  for (std::size_t line = 0; line <= Intake::kRequestInfo; ++line) {
+    if (kNames[line].size() == name.size() &&
+        boost::beast::iequals(name, {kNames[line].data(), kNames[line].size()})) {
+      return static_cast<Intake::Line>(line);
+    }
+  }
+  return Intake::kLines;
+}
+
+void forward(const Intake::Head& head, const Intake::Lines& lines, Forward& out) {
+  out.head.reserve(kUsualHead);
   out.head.append(view(head.method_string())).append(" ").append(view(head.target())).append(" HTTP/1.1\r\n");
-  const auto pass_on = [&](const char* name) {
-    auto [it, end] = head.equal_range(name);
-    if (it == end) return;
-    out.head.append(name).append(": ").append(view(it->value())).append("\r\n");
+  for (const Intake::Line line : kPassedOn) {
+    if (lines.count[line] == 0) continue;
     // Guards against a header that this node reads in one way and a server in another.
-    if (++it != end) throw BadRequest{400, "a header twice"};
-  };
-  for (const char* name : kPassedOn) pass_on(name);
-  for (const char* name : kOwn) {
-    if (std::string_view(name) != "Request-Timeout-Ms") pass_on(name);
+    if (lines.count[line] > 1) throw BadRequest{400, "a header twice"};
+    out.head.append(kNames[line]).append(": ").append(lines.value[line]).append("\r\n");
   }
 }
 
@@ -95,6 +136,14 @@
   return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
 }
 
+Intake::Lines::Lines(const Head& head) {
+  for (const auto& field : head) {
+    const Line line = line_of(field);
+    if (line == kLines) continue;
+    if (count[line]++ == 0) value[line] = view(field.value());
+  }
+}
+
 std::string_view Intake::path_of(const Head& head) {
   const std::string_view target = view(head.target());
   return target.substr(0, target.find('?'));
@@ -110,48 +159,49 @@
 // Guards against a second request hidden in a body. Beast 1.74 turns away a length beside "chunked", but
 // takes a length after any other encoding, a list of encodings that ends in "chunked", the same length twice,
 // and an encoding in HTTP/1.0, which has none.
-void Intake::check_framing(const Head& head) {
-  const std::size_t lengths = head.count(http::field::content_length);
-  const std::size_t encodings = head.count(http::field::transfer_encoding);
-  if (lengths + encodings > 1) throw BadRequest{400, "more than one length"};
-  if (lengths == 1) {
-    const std::string_view length = view(head[http::field::content_length]);
+void Intake::check_framing(const Head& head, const Lines& lines) {
+  if (lines.count[kContentLength] + lines.count[kTransferEncoding] > 1)
+    throw BadRequest{400, "more than one length"};
+  if (lines.count[kContentLength] == 1) {
+    const std::string_view length = lines.value[kContentLength];
     if (length.empty() || length.size() > 18 || !whole(length)) throw BadRequest{400, "bad Content-Length"};
   }
-  if (encodings == 1 &&
-      (head.version() < 11 || !boost::beast::iequals(head[http::field::transfer_encoding], "chunked"))) {
-    throw BadRequest{400, "unknown Transfer-Encoding"};
+  if (lines.count[kTransferEncoding] == 1) {
+    const std::string_view encoding = lines.value[kTransferEncoding];
+    if (head.version() < 11 || !boost::beast::iequals({encoding.data(), encoding.size()}, "chunked")) {
+      throw BadRequest{400, "unknown Transfer-Encoding"};
+    }
   }
 }
 
 // Guards the servers: what stands on the way to them must not read another target or host than they do.
-void Intake::check_address(const Head& head) {
+void Intake::check_address(const Head& head, const Lines& lines) {
   if (!only(view(head.target()), kTargetBytes)) throw BadRequest{400, "bad target"};
-  auto [host, end] = head.equal_range(http::field::host);
-  if (host != end && (!is_host(view(host->value())) || ++host != end)) throw BadRequest{400, "bad Host"};
+  if (lines.count[kHost] > 1 || (lines.count[kHost] == 1 && !is_host(lines.value[kHost]))) {
+    throw BadRequest{400, "bad Host"};
+  }
 }
 
-Call Intake::read(const Head& head, Forward& onward) const {
-  const auto named = [&](const char* field, const auto& known) {
-    const auto it = known.find(std::string(view(head[field])));
+Call Intake::read(const Head& head, const Lines& lines, Forward& onward) const {
+  const auto named = [&](Line line, const auto& known) {
+    const auto it = known.find(lines.value[line]);
     return it == known.end() ? std::nullopt : std::optional<std::size_t>(it->second);
   };
-  for (const char* name : kOwn) {
-    if (head.count(name) > 1) throw BadRequest{400, "a header twice"};
-    if (head[name].size() > kLongestName && std::string_view(name) != "Request-Info") {
+  for (std::size_t line = 0; line <= kRequestInfo; ++line) {
+    if (lines.count[line] > 1) throw BadRequest{400, "a header twice"};
+    if (lines.value[line].size() > kLongestName && line != kRequestInfo)
       throw BadRequest{400, "a header too long"};
-    }
   }
   if (head.target().size() > kLongestTarget) throw BadRequest{414, "target too long"};
-  if (head.count(http::field::host) == 0) throw BadRequest{400, "no Host"};
+  if (lines.count[kHost] == 0) throw BadRequest{400, "no Host"};
   Call out;
-  out.client_id = std::string(view(head["Request-Id"]));
+  out.client_id = std::string(lines.value[kRequestId]);
   if (out.client_id.empty()) throw BadRequest{400, "no Request-Id"};
-  const auto request_class = named("Request-Class", classes_);
+  const auto request_class = named(kRequestClass, classes_);
   if (!request_class) throw BadRequest{400, "unknown Request-Class"};
   out.facts.request_class = *request_class;
   if (!tenants_.empty()) {
-    const auto tenant = named("Tenant", tenants_);
+    const auto tenant = named(kTenant, tenants_);
     if (!tenant) throw BadRequest{400, "unknown Tenant"};
     out.facts.tenant = *tenant;
   }
@@ -162,24 +212,24 @@
   if (head.method() != (safe ? http::verb::get : http::verb::post)) {
     throw BadRequest{400, "the method does not belong to the class"};
   }
-  if ((facts.effect == quinceusher::Effect::kKeyed) == head["Idempotency-Key"].empty()) {
+  if ((facts.effect == quinceusher::Effect::kKeyed) == lines.value[kIdempotencyKey].empty()) {
     throw BadRequest{400, "Idempotency-Key does not belong to the class"};
   }
-  const std::string_view length = view(head[http::field::content_length]);
-  if (safe && (head.count(http::field::transfer_encoding) > 0 || (!length.empty() && length != "0"))) {
+  const std::string_view length = lines.value[kContentLength];
+  if (safe && (lines.count[kTransferEncoding] > 0 || (!length.empty() && length != "0"))) {
     throw BadRequest{400, "a body where none belongs"};
   }
   out.timeout = facts.give_up;
-  if (head.count("Request-Timeout-Ms") > 0) {
-    const auto ms = whole(view(head["Request-Timeout-Ms"]));
+  if (lines.count[kRequestTimeout] > 0) {
+    const auto ms = whole(lines.value[kRequestTimeout]);
     if (!ms || *ms == 0) throw BadRequest{400, "bad Request-Timeout-Ms"};
     out.timeout = std::min(static_cast<double>(*ms) / 1000, kLongestTimeout);
   }
-  if (head.count("Work-Hint") > 0) {
-    if (const auto us = whole(view(head["Work-Hint"]))) out.facts.work = static_cast<double>(*us) / 1e6;
+  if (lines.count[kWorkHint] > 0) {
+    if (const auto us = whole(lines.value[kWorkHint])) out.facts.work = static_cast<double>(*us) / 1e6;
   }
-  out.facts.is_repeat = head["Client-Retry"] == "1";
-  forward(head, onward);
+  out.facts.is_repeat = lines.value[kClientRetry] == "1";
+  forward(head, lines, onward);
   onward.repeatable = facts.effect != quinceusher::Effect::kUnsafe;
   return out;
 }
--- a/http/reader.cpp
+++ b/http/reader.cpp
@@ -76,20 +76,22 @@
   keep_alive_ = parser_->get().keep_alive();
   claim_ = Claim(budget_);
   try {
-    Intake::check_framing(head);
-    Intake::check_address(head);
+    const Intake::Lines lines(head);
+    Intake::check_framing(head, lines);
+    Intake::check_address(head, lines);
+    const std::string_view expected = lines.value[Intake::kExpect];
+    expects_continue_ = boost::beast::iequals({expected.data(), expected.size()}, "100-continue");
     const auto length = parser_->content_length().value_or(0);
     if (Intake::path_of(head) == "/api") {
       if (length > kBodyLimit) throw BadRequest{413, nullptr};
       forward_ = std::make_shared<Forward>();
-      call_.emplace(intake_.read(head, *forward_));
+      call_.emplace(intake_.read(head, lines, *forward_));
     }
     // Guards the memory limit: answers need room too, so requests leave half of the budget to them.
     if (!claim_.grow_to(length, budget_.size() / 2)) throw BadRequest{503, "no memory to spare"};
   } catch (const BadRequest& bad) {
     return turn_away(bad.status, bad.what);
   }
-  expects_continue_ = boost::beast::iequals(head[http::field::expect], "100-continue");
   return Step::kHead;
 }
 
--- a/http/reader.h
+++ b/http/reader.h
@@ -2,13 +2,12 @@
 // that takes HTTP/1.1 reads through it, so that the same bytes mean the same everywhere.
 #pragma once
 
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include "core/engine.h"
+#include "http/arena.h"
 #include "http/cargo.h"
 #include "http/intake.h"
 #include "util/budget.h"
@@ -39,7 +38,7 @@
   // At kTurnedAway.
   const BadRequest& verdict() const { return verdict_; }
   // At kRequest. The views hold until forget().
-  const boost::beast::http::request<boost::beast::http::string_body>& request() const {
+  const boost::beast::http::message<true, boost::beast::http::string_body, Fields>& request() const {
     return parser_->get();
   }
   std::string_view path() const { return Intake::path_of(parser_->get()); }
@@ -56,7 +55,7 @@
   const Intake& intake_;
   ByteBudget& budget_;
   const std::size_t other_limit_;
-  std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
+  ArenaParser<true, 2048> parser_;
   std::optional<Call> call_;
   std::shared_ptr<Forward> forward_;
   std::size_t head_bytes_ = 0;
--- a/http/upstream.cpp
+++ b/http/upstream.cpp
@@ -5,11 +5,11 @@
 #include <boost/beast/http.hpp>
 #include <cmath>
 #include <exception>
-#include <optional>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "http/arena.h"
 #include "util/clock.h"
 
 namespace nettlestand {
@@ -307,7 +307,7 @@
   }
 
   // Only the two statuses with the server's word for it, said once, prove that a request never ran.
-  static Outcome outcome_of(const http::response<http::string_body>& head) {
+  static Outcome outcome_of(const http::header<false, Fields>& head) {
     const unsigned status = head.result_int();
     if (status == 200) return Outcome::kDelivered;
     if ((status == 503 || status == 504) && head.count("Not-Started") == 1 && head["Not-Started"] == "1")
@@ -338,7 +338,7 @@
   std::shared_ptr<const Forward> request_;
   double began_ = 0, idle_ = 0, give_up_at_ = 0;
   double arriving_since_ = 0, last_byte_at_ = 0;  // since: the answer's head is there; 0: it is not
-  std::optional<http::response_parser<http::string_body>> parser_;
+  ArenaParser<false, 1024> parser_;
   // As the answer's head has it.
   Outcome told_ = Outcome::kUnknown;
   bool keep_alive_ = false;
