--- a/include/nettlestand/middleware/restinio.h
+++ b/include/nettlestand/middleware/restinio.h
@@ -5,8 +5,8 @@
 //         using stream_socket_t = nettlestand::restinio::Socket;
 //         using request_handler_t = restinio::sync_chain::fixed_size_chain_t<2>;
 //     auto door = std::make_shared<nettlestand::restinio::Door>(gateway);
-//     restinio::server_settings_t<traits_t>{}.door(door).request_handler(nettlestand::restinio::handler(door),
-//     own)
+//     restinio::server_settings_t<traits_t>{}.door(door)
+//         .request_handler(nettlestand::restinio::handler(door), own)
 //
 // RESTinio's parser is more lenient than the daemon's reading, closes on what it can't parse without an
 // answer, and does not look at a connection while a request waits. So the clients' bytes are read below it:
