Read on behind another route's request, widen httplib's accept queue, free idle parsers

Need: tests of what only an embedding application has (tests/forms/middleware_test) showed a request for /api that waited behind one for another route on the same connection, for ever: the guard below RESTinio read on only when bytes came. At 256 connections up to 77 of 146,000 calls before cpp-httplib timed out: its accept queue of five overflowed (3,981 ListenOverflows counted; ruled out: a lost wake-up, as only the first moments lost any). An idle connection held 2 KB of arena. Change: the guard reads on when RESTinio asks; the server's bind widens the queue; a parser's memory is there only while a message is read.

--- a/http/arena.h
+++ b/http/arena.h
@@ -7,8 +7,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
+#include <memory>
 #include <memory_resource>
-#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -17,7 +17,7 @@
 using FieldAllocator = std::pmr::polymorphic_allocator<char>;
 using Fields = boost::beast::http::basic_fields<FieldAllocator>;
 
-// A parser of messages with whole bodies; heads of up to `Bytes` take nothing from the heap.
+// A parser of messages with whole bodies; heads of up to `Bytes` take one piece of the heap.
 template <bool IsRequest, std::size_t Bytes>
 class ArenaParser {
  public:
@@ -27,22 +27,20 @@
   ArenaParser(const ArenaParser&) = delete;
   ArenaParser& operator=(const ArenaParser&) = delete;
 
-  explicit operator bool() const { return parser_.has_value(); }
-  Parser* operator->() { return &*parser_; }
-  const Parser* operator->() const { return &*parser_; }
-  void emplace() {
-    reset();
-    parser_.emplace(std::piecewise_construct, std::make_tuple(), std::make_tuple(FieldAllocator(&memory_)));
-  }
-  void reset() {
-    parser_.reset();
-    memory_.release();
-  }
+  explicit operator bool() const { return state_ != nullptr; }
+  Parser* operator->() { return &state_->parser; }
+  const Parser* operator->() const { return &state_->parser; }
+  void emplace() { state_ = std::make_unique_for_overwrite<State>(); }
+  void reset() { state_.reset(); }
 
  private:
-  std::array<std::byte, Bytes> bytes_;
-  std::pmr::monotonic_buffer_resource memory_{bytes_.data(), bytes_.size()};
-  std::optional<Parser> parser_;
+  // Apart, so that an idle connection holds none of it.
+  struct State {
+    std::array<std::byte, Bytes> bytes;
+    std::pmr::monotonic_buffer_resource memory{bytes.data(), bytes.size()};
+    Parser parser{std::piecewise_construct, std::make_tuple(), std::make_tuple(FieldAllocator(&memory))};
+  };
+  std::unique_ptr<State> state_;
 };
 
 }  // namespace nettlestand
--- a/include/nettlestand/middleware/httplib.h
+++ b/include/nettlestand/middleware/httplib.h
@@ -41,6 +41,19 @@
   explicit Server(Gateway& gateway, std::size_t other_body_limit = 64 * 1024)
       : gateway_(gateway), other_body_limit_(other_body_limit) {}
 
+  // As those of httplib, but for its accept queue of five: more than that at once would be left to come
+  // again, after a second or never.
+  bool bind_to_port(const std::string& host, int port, int socket_flags = 0) {
+    return ::httplib::Server::bind_to_port(host, port, socket_flags) && widen();
+  }
+  int bind_to_any_port(const std::string& host, int socket_flags = 0) {
+    const int port = ::httplib::Server::bind_to_any_port(host, socket_flags);
+    return port >= 0 && widen() ? port : -1;
+  }
+  bool listen(const std::string& host, int port, int socket_flags = 0) {
+    return bind_to_port(host, port, socket_flags) && listen_after_bind();
+  }
+
   // Answers from now on end their connections, and what is idle is closed, as in the daemon's drain. Any
   // thread.
   void finish() { finishing_ = true; }
@@ -49,8 +62,11 @@
  private:
   static constexpr std::size_t kEarlyLimit = 8 * 1024;  // bytes kept of a next request while one is answered
   static constexpr std::size_t kEndingLimit = 256 * 1024;  // bytes thrown away after the last answer
+  static constexpr int kAcceptQueue = 4096;                // connections
   static constexpr int kLook = 20;                         // ms between looks at whether the server ends
 
+  bool widen() { return ::listen(svr_sock_, kAcceptQueue) == 0; }
+
   // Waits for one answer: its completion makes a descriptor readable.
   struct Waiting {
     Waiting() : ready(::eventfd(0, EFD_CLOEXEC)) {}
--- a/include/nettlestand/middleware/restinio.h
+++ b/include/nettlestand/middleware/restinio.h
@@ -113,7 +113,7 @@
   void read(asio::mutable_buffer into, Read done) {
     into_ = into;
     wanted_ = std::move(done);
-    give();
+    out_.empty() && !left_ ? parse() : give();  // what has come behind the last request is read now
   }
 
   // RESTinio wants no more of the read that is out.
--- a/tests/forms/forms_test.cpp
+++ b/tests/forms/forms_test.cpp
@@ -5,16 +5,7 @@
 namespace nettlestand::testing {
 namespace {
 
-struct Form {
-  const char* name;
-  const char* binary;
-};
-void PrintTo(const Form& form, std::ostream* out) { *out << form.name; }
-
-class Forms : public ::testing::TestWithParam<Form> {
- protected:
-  void SetUp() override { node_binary() = GetParam().binary; }
-};
+using Forms = OfForm;
 
 TEST_P(Forms, PassesRequestsOnUnchangedAndKeepsConnections) {
   World w;
@@ -923,8 +914,7 @@
   EXPECT_TRUE(has(callers[0].message(), " 200 "));
 }
 
-INSTANTIATE_TEST_SUITE_P(Node, Forms, ::testing::ValuesIn(std::vector<Form>{FORMS}),
-                         [](const auto& form) { return std::string(form.param.name); });
+INSTANTIATE_TEST_SUITE_P(Node, Forms, ::testing::ValuesIn(std::vector<Form>{FORMS}), name_of_form);
 
 }  // namespace
 }  // namespace nettlestand::testing
--- a/tests/forms/world.h
+++ b/tests/forms/world.h
@@ -98,6 +98,19 @@
   return out;
 }
 
+// What is under test: a program, and its name in the tests' names.
+struct Form {
+  const char* name;
+  const char* binary;
+};
+inline void PrintTo(const Form& form, std::ostream* out) { *out << form.name; }
+inline std::string name_of_form(const ::testing::TestParamInfo<Form>& form) { return form.param.name; }
+
+class OfForm : public ::testing::TestWithParam<Form> {
+ protected:
+  void SetUp() override { node_binary() = GetParam().binary; }
+};
+
 // A node past tier 0, so that each request is sent on, with what the tests need to script its surroundings.
 struct World {
   Peer discovery;
