--- a/http/listener.cpp
+++ b/http/listener.cpp
@@ -1,5 +1,7 @@
 #include "http/listener.h"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <boost/beast/http/verb.hpp>
 #include <cerrno>
@@ -330,6 +332,8 @@
     if (error == asio::error::operation_aborted) return;
     if (error) return accept_later();
     for (int i = 0; i < 64; ++i) {
+      // Guards who has just been accepted: nobody is pushed out where nobody waits to come in.
+      if (count_ >= most_ && !somebody_waits()) break;
       if (count_ >= most_ && !make_room()) {
         if (!full_) log_("no room for further connections of callers");
         full_ = true;
@@ -345,6 +349,11 @@
   });
 }
 
+bool Listener::somebody_waits() {
+  pollfd queue{acceptor_.native_handle(), POLLIN, 0};
+  return ::poll(&queue, 1, 0) > 0;
+}
+
 void Listener::accept_later() {
   if (make_room()) return accept();
   retry_.expires_after(kAcceptPause);
--- a/http/listener.h
+++ b/http/listener.h
@@ -49,6 +49,7 @@
   void accept();
   void accept_later();
   bool accept_one();
+  bool somebody_waits();
   bool make_room();
   void closed();
   void sweep();
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -4,6 +4,7 @@
 #include <sys/resource.h>
 #include <sys/wait.h>
 
+#include <exception>
 #include <string>
 #include <vector>
 
@@ -50,7 +51,7 @@
       kill(child_, SIGKILL);
       waitpid(child_, nullptr, 0);
     }
-    if (::testing::Test::HasFailure()) {
+    if (::testing::Test::HasFailure() || std::uncaught_exceptions() > 0) {
       std::fprintf(stderr, "the log of %s:\n%s", node_binary(), log("no such words: until it ends").c_str());
     }
     ::close(log_);
