--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -120,7 +120,8 @@
   }
   Wire caller = w.client();
   caller.send(request("close"));
-  if (w.servers[0].quiet(6000)) FAIL() << "the caller got: " << (caller.quiet() ? "nothing" : caller.message());
+  if (w.servers[0].quiet(6000))
+    FAIL() << "the caller got: " << (caller.quiet() ? "nothing" : caller.message());
   Wire server = w.servers[0].accept();
   server.message();
   server.send(ok());
