--- a/daemon/operator_file.cpp
+++ b/daemon/operator_file.cpp
@@ -355,9 +355,6 @@
       out_.settings.tenants.push_back(t);
       out_.tenants.push_back(name.value_or(""));
     }
-    if (!all.empty()) {
-      out_.settings.over_share_worth = 1;
-    }
   }
 
   void discovery() {
