--- a/bench/fleet_faults.cpp
+++ b/bench/fleet_faults.cpp
@@ -4,7 +4,7 @@
 #include <cstdio>
 #include <vector>
 
-#include "standins/fleet.h"
+#include "emulator/fleet.h"
 
 namespace fleet = nettlestand::fleet;
 using quinceusher::Effect;
--- a/bench/fleet_grid.cpp
+++ b/bench/fleet_grid.cpp
@@ -9,7 +9,7 @@
 #include <thread>
 #include <vector>
 
-#include "standins/grid.h"
+#include "emulator/grid.h"
 
 namespace fleet = nettlestand::fleet;
 
--- a/bench/size_and_faults.py
+++ b/bench/size_and_faults.py
@@ -1,12 +1,13 @@
 #!/usr/bin/env python3
-"""The node beside HAProxy on loopback, in turn, in one run.
+"""The node beside a yardstick on loopback, in turn, in one run.
 
   bench/size_and_faults.py connections [--rounds N] [--seconds S]     closed loops on fast servers
   bench/size_and_faults.py faults [--rounds N] [--only TEXT] [--jobs N]   one fault at 0.3, 0.6, 0.9 of capacity
   bench/size_and_faults.py large [--rounds N]                          large and slow answers
 
-Wants Debian's haproxy and the programs of a build with the stand-ins (--build DIR, build-test). Each proxy has one
-core of its own where the machine has enough of them. Ends what it started. Prints a table in Markdown.
+The yardstick is nettlestand-plain-relay (least in flight, no limits, no retries), or an earlier build of the node:
+--against FILE. Wants the programs of a build with the stand-ins (--build DIR, build-test). Each of the two has one core
+of its own where the machine has enough of them. Ends what it started. Prints a table in Markdown.
 """
 import argparse
 import concurrent.futures
@@ -27,8 +28,9 @@
 class Run:
     """Programs started for one measurement; all are ended with it."""
 
-    def __init__(self, build):
+    def __init__(self, build, against=None):
         self.build, self.children, self.folder = build, [], tempfile.TemporaryDirectory()
+        self.against = against
 
     def __enter__(self):
         return self
@@ -74,7 +76,7 @@
             command += ["--script", path]
         return self.start(command, cpus, "listening on")
 
-    def node(self, ports, cpus, classes, allowance=1e6):
+    def node(self, ports, cpus, classes, allowance=1e6, binary=None):
         command = [self.program("nettlestand-standin-discovery")]
         for i, port in enumerate(ports):
             command += ["--server", f"s{i}={port}"]
@@ -91,46 +93,22 @@
         path = os.path.join(self.folder.name, "config.json")
         with open(path, "w") as out:
             json.dump(config, out)
-        port = self.start([self.program("nettlestand")], cpus, "listening on", dict(os.environ, GW_CONFIG=path))
+        port = self.start([binary or self.program("nettlestand")], cpus, "listening on", dict(os.environ, GW_CONFIG=path))
         self.await_port(port, "/healthz")
         return port
 
-    def haproxy(self, ports, cpus, retry=True, timeout_server="5s"):
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            port = free.getsockname()[1]
-        servers = "\n".join(
-            f"  server s{i} 127.0.0.1:{p} check inter 250ms fall 2 rise 2 observe layer4 error-limit 3 on-error mark-down"
-            for i, p in enumerate(ports))
-        text = f"""global
-  nbthread 1
-  maxconn 8000
-defaults
-  mode http
-  timeout connect 250ms
-  timeout client 60s
-  timeout server {timeout_server}
-  timeout queue 1s
-  option redispatch 1
-  option http-keep-alive
-  http-reuse always
-  retries 3
-  {"retry-on conn-failure empty-response 503" if retry else "retry-on conn-failure"}
-frontend f
-  bind 127.0.0.1:{port}
-  {"http-request disable-l7-retry if METH_POST" if retry else ""}
-  default_backend b
-backend b
-  balance leastconn
-{servers}
-"""
-        path = os.path.join(self.folder.name, "haproxy.cfg")
-        with open(path, "w") as out:
-            out.write(text)
-        self.start(["haproxy", "-db", "-f", path], cpus)
-        self.await_port(port)
-        time.sleep(0.6)  # its first checks
-        return port
+    def yardstick(self, ports, cpus, classes, allowance=1e6):
+        """An earlier build of the node where one is named, else the plain relay."""
+        if self.against:
+            return self.node(ports, cpus, classes, allowance, self.against)
+        return self.relay(ports, cpus)
+
+    def relay(self, ports, cpus):
+        """The yardstick: least in flight and nothing else."""
+        command = [self.program("nettlestand-plain-relay")]
+        for port in ports:
+            command += ["--server", str(port)]
+        return self.start(command, cpus, "listening on")
 
     @staticmethod
     def await_port(port, path=None):
@@ -183,21 +161,21 @@
     proxy, load, servers = ([CPUS[-1]], [CPUS[-2]], CPUS[:-2]) if one else (None, None, None)
     if one:
         servers = CPUS[-5:-2]
-    print("| connections | node: served/s | HAProxy: served/s | ratio | node: refused | node: p50, p99 ms | "
-          "HAProxy: p50, p99 ms | CPU a request, node over HAProxy |\n|" + " --- |" * 8)
+    print("| connections | node: served/s | yardstick: served/s | ratio | node: refused | node: p50, p99 ms | "
+          "yardstick: p50, p99 ms | CPU a request, node over yardstick |\n|" + " --- |" * 8)
     for callers in args.connections:
-        seen = {"node": [], "haproxy": []}
+        seen = {"node": [], "yardstick": []}
         for _ in range(args.rounds):
-            for which in ("node", "haproxy"):
-                with Run(args.build) as run:
+            for which in ("node", "yardstick"):
+                with Run(args.build, args.against) as run:
                     ports = [run.server([servers[i]] if servers else None) for i in range(3)]
-                    port = run.node(ports, proxy, [SAFE, UNSAFE]) if which == "node" else run.haproxy(ports, proxy)
+                    port = run.node(ports, proxy, [SAFE, UNSAFE]) if which == "node" else run.yardstick(ports, proxy, [SAFE, UNSAFE])
                     run.load(port, load, callers=callers, seconds=1)  # the first second
                     before = run.cpu()
                     got = run.load(port, load, callers=callers, seconds=args.seconds)["all"]
                     got["cpu_us"] = (run.cpu() - before) / max(1, got["calls"]) * 1e6
                     seen[which].append(got)
-        n, h = seen["node"], seen["haproxy"]
+        n, h = seen["node"], seen["yardstick"]
         pick = lambda rows, key: [r[key] for r in rows]
         print(f"| {callers} | {spread(pick(n, 'served_per_s'))} | {spread(pick(h, 'served_per_s'))} | "
               f"{ratio(pick(n, 'served_per_s'), pick(h, 'served_per_s'))} | {sum(pick(n, 'refused'))} of "
@@ -220,11 +198,11 @@
 
 
 def one_fault(args, fault, load, which, seed):
-    with Run(args.build) as run:
+    with Run(args.build, args.against) as run:
         # Four servers of two cores and 10 ms: 800 calls a second.
         ports = [run.server(cores=2, service_ms=10, distribution="exponential", seed=seed * 10 + i,
                             script=FAULTS[fault] if i == 0 else None) for i in range(4)]
-        port = run.node(ports, None, TIGHT, 800) if which == "node" else run.haproxy(ports, None, True, "2s")
+        port = run.node(ports, None, TIGHT, 800) if which == "node" else run.yardstick(ports, None, TIGHT, 800)
         # The scripts' time runs from the servers' start: calls begin a little later, the fault in their middle.
         return run.load(port, rate=800 * load, seconds=10, seed=seed,
                         **{"class": ["safe,safe,share=0.6,timeout=2,aim=0.2", "unsafe,unsafe,share=0.4,timeout=2,aim=0.2"]})
@@ -232,23 +210,23 @@
 
 def faults(args):
     """One of four servers is faulty for 5 s of 10; 60% of the calls are safe, 40% unsafe."""
-    print("| fault | load | served in 0.2 s: node | HAProxy | p99 ms: node | HAProxy | node: refused, failed | "
-          "HAProxy: refused, failed |\n|" + " --- |" * 8)
+    print("| fault | load | served in 0.2 s: node | yardstick | p99 ms: node | yardstick | node: refused, failed | "
+          "yardstick: refused, failed |\n|" + " --- |" * 8)
     jobs = []
     for fault, load in itertools.product(FAULTS, (0.3, 0.6, 0.9)):
         if args.only and args.only not in fault:
             continue
         for seed in range(1, args.rounds + 1):
-            for which in ("node", "haproxy"):
+            for which in ("node", "yardstick"):
                 jobs.append((fault, load, which, seed))
     with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
         results = dict(zip(jobs, pool.map(lambda j: one_fault(args, *j), jobs)))
     for fault, load in itertools.product(FAULTS, (0.3, 0.6, 0.9)):
-        rows = {w: [results[j] for j in jobs if j[:3] == (fault, load, w)] for w in ("node", "haproxy")}
+        rows = {w: [results[j] for j in jobs if j[:3] == (fault, load, w)] for w in ("node", "yardstick")}
         if not rows["node"]:
             continue
         cells = []
-        for w in ("node", "haproxy"):
+        for w in ("node", "yardstick"):
             good = [(r["all"]["served"] - r["all"]["late"]) / r["all"]["calls"] for r in rows[w]]
             calls = sum(r["all"]["calls"] for r in rows[w])
             lost = sum(r["all"]["failed"] + r["all"]["timed_out"] + r["all"]["unsent"] for r in rows[w])
@@ -268,17 +246,17 @@
 
 def large(args):
     """Safe calls with large answers after small ones, against one server that answers so and three others."""
-    print("| answers | client's time s | node: served | HAProxy: served |\n|" + " --- |" * 4)
+    print("| answers | client's time s | node: served | yardstick: served |\n|" + " --- |" * 4)
     for name, (script, timeout) in LARGE.items():
         cells = []
-        for which in ("node", "haproxy"):
+        for which in ("node", "yardstick"):
             served = calls = 0
             for seed in range(1, args.rounds + 1):
-                with Run(args.build) as run:
+                with Run(args.build, args.against) as run:
                     later = "\n".join("at 2 " + line for line in script.split("\n"))
                     ports = [run.server(seed=seed, script=later) for _ in range(3)]
                     classes = [dict(SAFE, giveUp=timeout), UNSAFE]
-                    port = run.node(ports, None, classes) if which == "node" else run.haproxy(ports, None, True, "60s")
+                    port = run.node(ports, None, classes) if which == "node" else run.yardstick(ports, None, classes)
                     kind = {"class": f"safe,safe,timeout={timeout}"}
                     run.load(port, callers=4, seconds=1, **kind)
                     time.sleep(1.5)
@@ -292,6 +270,7 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("what", choices=("connections", "faults", "large"))
     parser.add_argument("--build", default=os.path.join(ROOT, "build-test"))
+    parser.add_argument("--against", help="an earlier build of the node, in place of the plain relay")
     parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=3)
     parser.add_argument("--connections", type=int, nargs="*", default=[16, 64, 256, 1024])
--- a/bench/two_forms.py
+++ b/bench/two_forms.py
@@ -1,12 +1,12 @@
 #!/usr/bin/env python3
-"""Both forms of the node beside a direct client and HAProxy on loopback, in turn, in one run.
+"""Both forms of the node beside a direct client and a plain relay on loopback, in turn, in one run.
 
   bench/two_forms.py speed [--rounds N] [--seconds S] [--connections N ...]   requests/s, p50/p99, CPU a request
   bench/two_forms.py idle [--idle N]                                          memory with N idle connections
   bench/two_forms.py counts                                                   instructions and allocations a request
 
-Wants Debian's haproxy (and valgrind for `counts`) and a build with the tests (--build DIR, build-test). Each proxy has
-one core of its own where the machine has enough of them. Ends what it started. Prints tables in Markdown.
+Wants a build with the tests (--build DIR, build-test), and valgrind for `counts`. Each proxy has one core
+of its own where the machine has enough of them. Ends what it started. Prints tables in Markdown.
 --forms names what is measured; NAME=FILE adds another build of the daemon, as in --forms daemon parent=/path/of/it.
 """
 import argparse
@@ -34,8 +34,8 @@
 
     def started(self, form, ports, cpus, wrapper=()):
         """The port of what stands before these servers; the program started last is it."""
-        if form == "haproxy":
-            return self.haproxy(ports, cpus)
+        if form == "relay":
+            return self.relay(ports, cpus)
         self.path = FORMS.get(form) and os.path.join(self.build, FORMS[form])
         if "=" in form:
             self.path = form.split("=", 1)[1]
@@ -57,8 +57,8 @@
 
 def speed(args):
     proxy, load, servers = places()
-    forms = args.forms + ["haproxy"]
-    print("| connections | form | served/s | p50 ms | p99 ms | refused or failed | CPU us a request | CPU over HAProxy's |\n|" +
+    forms = args.forms + ["relay"]
+    print("| connections | form | served/s | p50 ms | p99 ms | refused or failed | CPU us a request | CPU over the relay's |\n|" +
           " --- |" * 8)
     for callers in args.connections:
         seen = {form: [] for form in ["direct"] + forms}
@@ -80,7 +80,7 @@
         for form in seen:
             lost = sum(r["calls"] - r["served"] for r in seen[form])
             cpu = spread(of(form, "cpu_us"), "{:.1f}") if form != "direct" else "-"
-            over = ratio(of(form, "cpu_us"), of("haproxy", "cpu_us")) if form not in ("direct", "haproxy") else "-"
+            over = ratio(of(form, "cpu_us"), of("relay", "cpu_us")) if form not in ("direct", "relay") else "-"
             print(f"| {callers} | {form.split('=')[0]} | {spread(of(form, 'served_per_s'))} | "
                   f"{spread(of(form, 'p50_ms'), '{:.2f}')} | {spread(of(form, 'p99_ms'), '{:.2f}')} | "
                   f"{lost} of {sum(of(form, 'calls'))} | {cpu} | {over} |", flush=True)
@@ -95,7 +95,7 @@
     """Each connection has had one answer, and keeps quiet."""
     print("| form | resident KB with none | with the idle connections | KB a connection |\n|" + " --- |" * 4)
     request = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
-    for form in args.forms + ["haproxy"]:
+    for form in args.forms + ["relay"]:
         with Forms(args) as run:
             ports = [run.server() for _ in range(3)]
             port = run.started(form, ports, None)
--- a/core/engine.cpp
+++ b/core/engine.cpp
@@ -85,7 +85,7 @@
         std::visit([this](const auto& a) { run(a); }, action);
       }
     } catch (const std::exception& surprise) {
-      log_(std::string("surprise: ") + surprise.what());
+      log_(nettlestand::surprise("engine", surprise.what()));
     }
     if (const auto* end = std::get_if<qu::AttemptResult>(&next)) forget_if_done(number_of(end->id));
   }
@@ -290,6 +290,10 @@
 
 void Engine::run(const qu::WatchMembers&) { watch_(); }
 
-void Engine::run(const qu::LogLine& action) { log_(action.text); }
+void Engine::run(const qu::LogLine& action) {
+  LogEvent event{LogLevel::kWarning, "decisions", "shedding", action.text, {}};
+  for (const auto& [name, value] : action.figures) event.fields.push_back({name, std::int64_t{value}});
+  log_(event);
+}
 
 }  // namespace nettlestand
--- a/daemon/config.h
+++ b/daemon/config.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/members.h"
+#include "daemon/log.h"
 #include "http/listener.h"
 #include "quinceusher/balancer.h"
 
@@ -27,6 +28,7 @@
   std::optional<ServerList> known;                   // discovery's list as it was last known
   std::optional<ServerList> servers;                 // all there are, where there is no discovery
   ListenerLimits listener;
+  LogOptions log;
 
   // So many servers may be listed, ready or leaving: each takes 1.4 KB, or twice that with a long name.
   std::size_t most_servers() const { return memory_mb * 128; }
--- /dev/null
+++ b/daemon/log.cpp
@@ -0,0 +1,149 @@
+#include "daemon/log.h"
+
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+#include <spdlog/logger.h>
+#include <spdlog/pattern_formatter.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
+#include <cstdio>
+#include <type_traits>
+#include <utility>
+
+#include "util/clock.h"
+
+namespace nettlestand {
+namespace {
+
+using Writer = rapidjson::Writer<rapidjson::StringBuffer, rapidjson::UTF8<>, rapidjson::UTF8<>>;
+
+void put(Writer& out, std::string_view text) {
+  out.String(text.data(), static_cast<rapidjson::SizeType>(text.size()));
+}
+
+void put(Writer& out, const LogField& field) {
+  std::visit(
+      [&](const auto& value) {
+        using Value = std::decay_t<decltype(value)>;
+        if constexpr (std::is_same_v<Value, std::string>) {
+          put(out, std::string_view(value));
+        } else if constexpr (std::is_same_v<Value, std::int64_t>) {
+          out.Int64(value);
+        } else if constexpr (std::is_same_v<Value, double>) {
+          if (!out.Double(value)) out.Null();  // no number: JSON has no word for it
+        } else {
+          out.Bool(value);
+        }
+      },
+      field.value);
+}
+
+// As a JSON string where it is no plain word: one event stays one line, whatever it quotes.
+std::string shown(const LogField& field) {
+  rapidjson::StringBuffer buffer;
+  Writer out(buffer);
+  put(out, field);
+  std::string text(buffer.GetString(), buffer.GetSize());
+  const auto* word = std::get_if<std::string>(&field.value);
+  const bool plain = word != nullptr && !word->empty() && text.size() == word->size() + 2 &&
+                     word->find_first_of(" =") == std::string::npos;
+  return plain ? *word : text;
+}
+
+spdlog::level::level_enum level_of(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return spdlog::level::debug;
+    case LogLevel::kInfo:
+      return spdlog::level::info;
+    case LogLevel::kWarning:
+      return spdlog::level::warn;
+    default:
+      return spdlog::level::err;
+  }
+}
+
+const char* pattern_of(LogOptions::Format format) {
+  switch (format) {
+    case LogOptions::Format::kText:
+      return "%Y-%m-%dT%H:%M:%S.%eZ %l %n %v";
+    case LogOptions::Format::kJson:
+      return R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l","component":"%n",%v})";
+    default:
+      return "%v";
+  }
+}
+
+}  // namespace
+
+std::string to_text(const LogEvent& event) {
+  std::string out(event.event);
+  for (const LogField& field : event.fields)
+    out.append(" ").append(field.name).append("=").append(shown(field));
+  return out.append(" text=").append(shown({"text", event.text}));
+}
+
+std::string to_json_members(const LogEvent& event) {
+  rapidjson::StringBuffer buffer;
+  Writer out(buffer);
+  out.StartObject();
+  out.Key("event");
+  put(out, event.event);
+  for (const LogField& field : event.fields) {
+    put(out, field.name);
+    put(out, field);
+  }
+  out.Key("text");
+  put(out, std::string_view(event.text));
+  out.EndObject();
+  return {buffer.GetString() + 1, buffer.GetSize() - 2};
+}
+
+struct Logger::Sinks {
+  std::shared_ptr<spdlog::sinks::stderr_sink_st> sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
+  std::map<std::string, spdlog::logger, std::less<>> loggers;  // by component
+};
+
+Logger::Logger(const LogOptions& options)
+    : options_(options), limit_(options.repeats, options.period), sinks_(std::make_unique<Sinks>()) {
+  sinks_->sink->set_formatter(std::make_unique<spdlog::pattern_formatter>(pattern_of(options.format),
+                                                                          spdlog::pattern_time_type::utc));
+}
+
+Logger::~Logger() = default;
+
+void Logger::write(const LogEvent& event) {
+  auto it = sinks_->loggers.find(event.component);
+  if (it == sinks_->loggers.end()) {
+    const std::string name(event.component);
+    it = sinks_->loggers.emplace(name, spdlog::logger(name, sinks_->sink)).first;
+    const auto own = options_.levels.find(name);
+    it->second.set_level(level_of(own == options_.levels.end() ? options_.level : own->second));
+    it->second.flush_on(spdlog::level::trace);
+  }
+  const spdlog::level::level_enum level = level_of(event.level);
+  if (!it->second.should_log(level)) return;
+  const auto left_out = limit_.allow(std::string(event.component) + "." + std::string(event.event), now());
+  if (!left_out) return;
+  const LogEvent* told = &event;
+  LogEvent more;
+  if (*left_out > 0) {
+    more = event;
+    more.fields.push_back({"left_out", static_cast<std::int64_t>(*left_out)});
+    more.text += " (" + std::to_string(*left_out) + " more like it were left out)";
+    told = &more;
+  }
+  switch (options_.format) {
+    case LogOptions::Format::kText:
+      return it->second.log(level, to_text(*told));
+    case LogOptions::Format::kJson:
+      return it->second.log(level, to_json_members(*told));
+    default: {
+      char time[32];
+      std::snprintf(time, sizeof time, "%.3f ", now());
+      it->second.log(level, time + told->text);
+    }
+  }
+}
+
+}  // namespace nettlestand
--- /dev/null
+++ b/daemon/log.h
@@ -0,0 +1,51 @@
+// The daemon's log: events to lines on standard error, by spdlog. One thread, the loop's.
+#pragma once
+
+#include <array>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "daemon/repeat_limit.h"
+#include "nettlestand/log.h"
+
+namespace nettlestand {
+
+// Whose levels can be set.
+inline constexpr std::array<const char*, 6> kLogComponents = {"node",      "engine",   "decisions",
+                                                              "discovery", "listener", "upstream"};
+
+struct LogOptions {
+  enum class Format {
+    kPlain,  // seconds of the steady clock and a sentence
+    kText,   // UTC, level, component, event, fields, sentence
+    kJson    // the same as one object
+  };
+  Format format = Format::kPlain;
+  LogLevel level = LogLevel::kInfo;
+  std::map<std::string, LogLevel> levels;  // of single components
+  int repeats = 20;                        // lines of one event in a period; 0: all
+  double period = 10;                      // s
+};
+
+// An event without its time, level and component, as the formats have it.
+std::string to_text(const LogEvent& event);
+std::string to_json_members(const LogEvent& event);
+
+class Logger {
+ public:
+  explicit Logger(const LogOptions& options);
+  ~Logger();
+  Logger(const Logger&) = delete;
+  Logger& operator=(const Logger&) = delete;
+
+  void write(const LogEvent& event);
+
+ private:
+  struct Sinks;
+  const LogOptions options_;
+  RepeatLimit limit_;
+  std::unique_ptr<Sinks> sinks_;
+};
+
+}  // namespace nettlestand
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -6,6 +6,8 @@
 #include <cstdlib>
 #include <exception>
 #include <fstream>
+#include <map>
+#include <optional>
 #include <random>
 #include <stdexcept>
 #include <string>
@@ -13,7 +15,6 @@
 #include "daemon/node.h"
 #include "daemon/operator_file.h"
 #include "nettlestand/version.h"
-#include "util/clock.h"
 #ifdef NETTLESTAND_WITH_DEMO
 #include "daemon/demo.h"
 #endif
@@ -25,8 +26,6 @@
 constexpr std::size_t kLongestConfig = 4 * 1024 * 1024;  // bytes; known servers of 192 MB fit
 constexpr int kBadConfig = 2, kCannotStart = 1;
 
-void log_line(const std::string& text) { std::fprintf(stderr, "%.3f %s\n", ns::now(), text.c_str()); }
-
 std::string contents(const std::string& path) {
   std::ifstream in(path);
   if (!in) throw std::runtime_error("can't read " + path);
@@ -65,14 +64,16 @@
   return out;
 }
 
-int run(const std::string& file) {
+int run(const std::string& file, const std::optional<ns::LogOptions::Format>& format) {
   std::signal(SIGPIPE, SIG_IGN);
   int failure = kBadConfig;
   try {
-    const ns::Config config = load(file);
+    ns::Config config = load(file);
+    if (format) config.log.format = *format;
     failure = kCannotStart;
+    ns::Logger logger(config.log);
     ns::Node node(
-        config, [&] { return load(file); }, log_line);
+        config, [&] { return load(file); }, [&](const ns::LogEvent& event) { logger.write(event); });
     node.run();
     std::fflush(nullptr);
     std::_Exit(0);                                  // what is still open ends with the process
@@ -123,6 +124,15 @@
                                         "Runs a node on the platform's configuration, an operator's file, or "
                                         "both: then the platform's rules and the file adds to it.");
   run_it->add_option("--config", file, "the operator's file (TOML)");
+  std::optional<ns::LogOptions::Format> format;
+  run_it
+      ->add_option("--log-format", format,
+                   "plain (a sentence a line), text (time, level, component, event, fields) or json; before "
+                   "the file's [log]")
+      ->transform(CLI::CheckedTransformer(
+          std::map<std::string, ns::LogOptions::Format>{{"plain", ns::LogOptions::Format::kPlain},
+                                                        {"text", ns::LogOptions::Format::kText},
+                                                        {"json", ns::LogOptions::Format::kJson}}));
   CLI::App* check_it =
       app.add_subcommand("check", "Says all that is wrong with an operator's file; exit code 2 then.");
   check_it->add_option("file", file, "the operator's file (TOML)")->required();
@@ -139,5 +149,5 @@
   }
   if (*check_it) return check(file);
   if (*demo_it) return demo(seconds);
-  return run(file);
+  return run(file, format);
 }
--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -61,8 +61,9 @@
 }
 
 void Node::run() {
-  log_("listening on " + listener_.address().address().to_string() + ":" +
-       std::to_string(listener_.address().port()));
+  const std::string at =
+      listener_.address().address().to_string() + ":" + std::to_string(listener_.address().port());
+  log_({LogLevel::kInfo, "node", "listening", "listening on " + at, {{"address", at}}});
   engine_.start();
   if (!discovery_ && config_.servers) engine_.list_came(*config_.servers);
   signals_.async_wait([this](const boost::system::error_code& error, int) {
@@ -73,7 +74,7 @@
     try {
       io_.run();
     } catch (const std::exception& surprise) {  // one connection's trouble must not end the others
-      log_(std::string("surprise: ") + surprise.what());
+      log_(nettlestand::surprise("node", surprise.what()));
     }
   }
 }
@@ -95,13 +96,17 @@
         throw std::runtime_error("it has another source of servers");
       }
     } catch (const std::exception& problem) {
-      log_(std::string("the configuration stays as it was: ") + problem.what());
+      log_({LogLevel::kError,
+            "node",
+            "configuration_kept",
+            std::string("the configuration stays as it was: ") + problem.what(),
+            {{"why", std::string(problem.what())}}});
     }
   });
 }
 
 void Node::drain() {
-  log_("draining");
+  log_({LogLevel::kInfo, "node", "draining", "draining", {}});
   drain_began_ = now();
   listener_.drain();
   look();
@@ -116,7 +121,7 @@
   if (plan_.finishing(since)) listener_.finish();
   if (plan_.last_answers(since)) engine_.expire_all();
   if (plan_.over(since, listener_.connections() > 0)) {
-    log_("drained");
+    log_({LogLevel::kInfo, "node", "drained", "drained", {{"after_ms", std::int64_t(since * 1000)}}});
     return io_.stop();
   }
   look_.expires_after(kDrainLook);
--- a/daemon/operator_file.cpp
+++ b/daemon/operator_file.cpp
@@ -204,6 +204,7 @@
     limits();
     warm_up();
     listener();
+    log();
     classes();
     tenants();
     discovery();
@@ -298,6 +299,25 @@
     s.finish();
   }
 
+  void log() {
+    Section s = section("log");
+    static const std::vector<std::string> kLevels = {"debug", "info", "warning", "error"};
+    out_.log.format = static_cast<LogOptions::Format>(s.word("format", {"plain", "text", "json"}, 0));
+    out_.log.level = static_cast<LogLevel>(s.word("level", kLevels, 1));
+    out_.log.repeats = static_cast<int>(s.whole("repeats", out_.log.repeats, 0, 1e6));
+    out_.log.period = s.ms("period_ms", out_.log.period * 1000, 1, kDayMs);
+    const toml::node* levels = s.find("levels", "a table", [](const toml::node& n) { return n.is_table(); });
+    if (levels != nullptr) {
+      Section by(problems_, levels->as_table(), "log.levels");
+      for (const char* component : kLogComponents) {
+        const std::size_t level = by.word(component, kLevels, kLevels.size());
+        if (level < kLevels.size()) out_.log.levels[component] = static_cast<LogLevel>(level);
+      }
+      by.finish();
+    }
+    s.finish();
+  }
+
   // Names that stand there once.
   void named(Section& s, std::map<std::string, std::uint32_t>& seen, const std::optional<std::string>& name) {
     if (!name) {
@@ -447,6 +467,9 @@
   return out;
 }
 
-void add_operator_file(Config& platform, const Config& file) { platform.listener = file.listener; }
+void add_operator_file(Config& platform, const Config& file) {
+  platform.listener = file.listener;
+  platform.log = file.log;
+}
 
 }  // namespace nettlestand
--- a/discovery/discovery.cpp
+++ b/discovery/discovery.cpp
@@ -151,7 +151,8 @@
 // its versions need not be those of the old one, and nothing is given up before it has spoken.
 void Discovery::move(const boost::asio::ip::tcp::endpoint& address) {
   if (address == address_ || shut_) return;
-  log_("discovery: moves to " + address.address().to_string() + ":" + std::to_string(address.port()));
+  const std::string to = address.address().to_string() + ":" + std::to_string(address.port());
+  log_({LogLevel::kInfo, "discovery", "moved", "discovery: moves to " + to, {{"address", to}}});
   address_ = address;
   seq_.reset();
   moving_ = true;
@@ -183,7 +184,7 @@
     current_ = std::exchange(next_, nullptr);
     moving_ = false;
   }
-  if (!well_) log_("discovery: heard again");
+  if (!well_) log_({LogLevel::kInfo, "discovery", "heard", "discovery: heard again", {}});
   well_ = true;
   backoff_ = 0;
   if (!moving_) seq_ = list.seq;
@@ -191,7 +192,12 @@
 
 void Discovery::failed(const Watch* which, const std::string& why) {
   if (which != current_.get() && which != next_.get()) return;
-  if (well_) log_("discovery: " + why + "; the last list is kept");
+  if (well_)
+    log_({LogLevel::kWarning,
+          "discovery",
+          "lost",
+          "discovery: " + why + "; the last list is kept",
+          {{"why", why}}});
   well_ = false;
   if (which == next_.get()) {  // the module has not asked for this one: it is asked for again here
     next_.reset();
--- a/standins/fleet.cpp
+++ b/emulator/fleet.cpp
@@ -1,4 +1,4 @@
-#include "standins/fleet.h"
+#include "emulator/fleet.h"
 
 #include <algorithm>
 #include <cmath>
--- a/standins/grid.cpp
+++ b/emulator/grid.cpp
@@ -1,4 +1,4 @@
-#include "standins/grid.h"
+#include "emulator/grid.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/standins/grid.h
+++ b/emulator/grid.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "standins/fleet.h"
+#include "emulator/fleet.h"
 
 namespace nettlestand::fleet {
 
--- a/gateway/impl.cpp
+++ b/gateway/impl.cpp
@@ -18,7 +18,7 @@
 constexpr double kLongestDeadline = 3;  // s; as the daemon after SIGTERM
 constexpr double kLastAnswers = 0.45;   // s over the longest deadline; what is open then is answered
 
-using Logger = std::function<void(std::string_view)>;
+using Loggers = GatewayLoggers;
 
 std::uint64_t random_base() {
   std::random_device device;
@@ -36,10 +36,13 @@
 }
 
 // A log that fails must not fail a request.
-void log_to(const Logger& logger, const std::string& text) noexcept {
-  if (!logger) return;
+void log_to(const Loggers& to, const LogEvent& event) noexcept {
   try {
-    logger(text);
+    if (to.lines) to.lines(event.text);
+  } catch (...) {
+  }
+  try {
+    if (to.events) to.events(event);
   } catch (...) {
   }
 }
@@ -48,7 +51,7 @@
 
 Gateway::Impl::Impl(Options options, Checked checked, asio::io_context* loop)
     : options_(std::move(options)),
-      logger_(std::make_shared<const std::function<void(std::string_view)>>(options_.logger)),
+      logger_(std::make_shared<const Loggers>(Loggers{options_.logger, options_.event_logger})),
       checked_(std::move(checked)),
       own_(loop == nullptr ? std::make_unique<asio::io_context>(1) : nullptr),
       loop_(loop == nullptr ? *own_ : *loop),
@@ -58,9 +61,9 @@
       upstream_(loop_, poller_,
                 {std::chrono::duration<double>(options_.connect_timeout).count(),
                  std::chrono::duration<double>(options_.idle_close).count(), options_.sockets},
-                budget_, [this](const std::string& text) { log(text); }),
+                budget_, [this](const LogEvent& event) { log(event); }),
       engine_(
-          loop_, checked_.engine, upstream_, [this](const std::string& text) { log(text); },
+          loop_, checked_.engine, upstream_, [this](const LogEvent& event) { log(event); },
           [this] {
             if (discovery_) discovery_->watch();
           }),
@@ -72,7 +75,7 @@
                                         options_.servers_version, false, checked_.engine.most_servers},
                        Discovery::Listeners{[this](const ServerList& list) { engine_.list_came(list); },
                                             [this] { engine_.watch_failed(); }},
-                       [this](const std::string& text) { log(text); });
+                       [this](const LogEvent& event) { log(event); });
   }
   if (own_) work_.emplace(own_->get_executor());
 }
@@ -96,7 +99,7 @@
         self->loop_.run();
         return;
       } catch (const std::exception& surprise) {  // one connection's trouble must not end the others
-        self->log(std::string("surprise: ") + surprise.what());
+        self->log(nettlestand::surprise("gateway", surprise.what()));
       }
     }
   });
@@ -296,9 +299,13 @@
     try {
       owed.done(std::move(owed.response));
     } catch (const std::exception& problem) {
-      log_to(*logger, std::string("a completion threw: ") + problem.what());
+      log_to(*logger, {LogLevel::kError,
+                       "gateway",
+                       "completion_threw",
+                       std::string("a completion threw: ") + problem.what(),
+                       {{"what", std::string(problem.what())}}});
     } catch (...) {
-      log_to(*logger, "a completion threw");
+      log_to(*logger, {LogLevel::kError, "gateway", "completion_threw", "a completion threw", {}});
     }
   });
 }
@@ -327,6 +334,6 @@
   return {};
 }
 
-void Gateway::Impl::log(const std::string& text) const noexcept { log_to(*logger_, text); }
+void Gateway::Impl::log(const LogEvent& event) const noexcept { log_to(*logger_, event); }
 
 }  // namespace nettlestand
--- a/gateway/impl.h
+++ b/gateway/impl.h
@@ -6,10 +6,12 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <unordered_map>
 
@@ -26,6 +28,11 @@
 
 namespace nettlestand {
 
+struct GatewayLoggers {
+  std::function<void(std::string_view)> lines;
+  std::function<void(const LogEvent&)> events;
+};
+
 struct HttpCall::Impl {
   Call call;
 };
@@ -80,10 +87,10 @@
   Response refusal(Errc code, const char* text) const;
   void end_if_drained();
   void shut();
-  void log(const std::string& text) const noexcept;
+  void log(const LogEvent& event) const noexcept;
 
   const Options options_;
-  const std::shared_ptr<const std::function<void(std::string_view)>> logger_;
+  const std::shared_ptr<const GatewayLoggers> logger_;
   const Checked checked_;
   std::unique_ptr<boost::asio::io_context> own_;
   boost::asio::io_context& loop_;
--- a/http/listener.cpp
+++ b/http/listener.cpp
@@ -130,7 +130,11 @@
     try {
       step();
     } catch (const std::exception& problem) {
-      listener_.log_(std::string("a caller's connection ends: ") + problem.what());
+      listener_.log_({LogLevel::kError,
+                      "listener",
+                      "connection_ended",
+                      std::string("a caller's connection ends: ") + problem.what(),
+                      {{"why", std::string(problem.what())}}});
       close();
     }
   }
@@ -335,7 +339,12 @@
       // Guards who has just been accepted: nobody is pushed out where nobody waits to come in.
       if (count_ >= most_ && !somebody_waits()) break;
       if (count_ >= most_ && !make_room()) {
-        if (!full_) log_("no room for further connections of callers");
+        if (!full_)
+          log_({LogLevel::kWarning,
+                "listener",
+                "full",
+                "no room for further connections of callers",
+                {{"connections", static_cast<std::int64_t>(count_)}}});
         full_ = true;
         return;  // the next one that closes accepts
       }
@@ -370,7 +379,11 @@
   try {
     std::make_shared<Connection>(*this, std::move(socket))->start();
   } catch (const std::exception& problem) {
-    log_(std::string("a caller's connection is not taken: ") + problem.what());
+    log_({LogLevel::kError,
+          "listener",
+          "connection_not_taken",
+          std::string("a caller's connection is not taken: ") + problem.what(),
+          {{"why", std::string(problem.what())}}});
   }
   return true;
 }
--- a/http/upstream.cpp
+++ b/http/upstream.cpp
@@ -167,7 +167,11 @@
     try {
       step();
     } catch (const std::exception& problem) {
-      pool_.log_("a connection to " + server + " ends: " + problem.what());
+      pool_.log_({LogLevel::kError,
+                  "upstream",
+                  "connection_ended",
+                  "a connection to " + server + " ends: " + problem.what(),
+                  {{"server", server}, {"why", std::string(problem.what())}}});
       end(state == State::kReading ? Outcome::kUnknown : Outcome::kDialFailed, false);
     }
   }
--- a/include/nettlestand/options.h
+++ b/include/nettlestand/options.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "nettlestand/function.h"
+#include "nettlestand/log.h"
 
 namespace nettlestand {
 
@@ -88,6 +89,8 @@
   // Lines on what happened, for people. Called on the gateway's thread; what it throws is dropped. None:
   // silence.
   std::function<void(std::string_view)> logger;
+  // The same as events with their fields, after `logger`.
+  std::function<void(const LogEvent&)> event_logger;
   // Where completions run. None: on the gateway's thread.
   std::shared_ptr<Executor> executor;
 };
--- a/include/quinceusher/balancer.h
+++ b/include/quinceusher/balancer.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -198,6 +199,7 @@
 
 struct LogLine {
   std::string text;
+  std::vector<std::pair<const char*, int>> figures;  // the text's, by name
 };
 
 using Action = std::variant<Send, Refuse, Fail, Cancel, Extend, SetTimer, WatchMembers, LogLine>;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -507,12 +507,18 @@
   void note(int& count) {
     if (denied_ + unplaced_ + left_out_ + taken_back_ == 0) next_log_ = now_ + kLogPeriod;
     if (++count; now_ < next_log_) return;
-    out_->push_back(LogLine{"shedding: " + std::to_string(denied_) + " over their tenant's limit, " +
-                            std::to_string(unplaced_) +
-                            " without a server with room; servers: " + std::to_string(left_out_) +
-                            " left out, " + std::to_string(taken_back_) + " taken back, " +
-                            std::to_string(servers_.ring().size() - servers_.well().size()) + " of " +
-                            std::to_string(servers_.ring().size()) + " out"});
+    const int all = static_cast<int>(servers_.ring().size());
+    const int out = all - static_cast<int>(servers_.well().size());
+    const auto n = [](int figure) { return std::to_string(figure); };
+    out_->push_back(LogLine{"shedding: " + n(denied_) + " over their tenant's limit, " + n(unplaced_) +
+                                " without a server with room; servers: " + n(left_out_) + " left out, " +
+                                n(taken_back_) + " taken back, " + n(out) + " of " + n(all) + " out",
+                            {{"denied", denied_},
+                             {"unplaced", unplaced_},
+                             {"left_out", left_out_},
+                             {"taken_back", taken_back_},
+                             {"out", out},
+                             {"servers", all}}});
     denied_ = unplaced_ = left_out_ = taken_back_ = 0;
   }
 
--- a/standins/load.cpp
+++ b/standins/callers/load.cpp
@@ -1,4 +1,4 @@
-#include "standins/load.h"
+#include "standins/callers/load.h"
 
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -15,7 +15,7 @@
 #include <unordered_map>
 #include <utility>
 
-#include "standins/http.h"
+#include "standins/common/http.h"
 
 namespace nettlestand::standins {
 namespace {
--- a/standins/load.h
+++ b/standins/callers/load.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "standins/loop.h"
-#include "standins/recorder.h"
+#include "standins/common/loop.h"
+#include "standins/common/recorder.h"
 
 namespace nettlestand::standins {
 
--- a/standins/load_main.cpp
+++ b/standins/callers/load_main.cpp
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "standins/load.h"
-#include "standins/options.h"
+#include "standins/callers/load.h"
+#include "standins/common/options.h"
 
 namespace {
 
--- a/standins/checker.cpp
+++ b/standins/checker/checker.cpp
@@ -1,4 +1,4 @@
-#include "standins/checker.h"
+#include "standins/checker/checker.h"
 
 #include <algorithm>
 #include <array>
--- a/standins/checker.h
+++ b/standins/checker/checker.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "standins/records.h"
+#include "standins/common/records.h"
 
 namespace nettlestand::standins {
 
--- a/standins/http.cpp
+++ b/standins/common/http.cpp
@@ -1,4 +1,4 @@
-#include "standins/http.h"
+#include "standins/common/http.h"
 
 #include <algorithm>
 #include <array>
--- a/standins/loop.cpp
+++ b/standins/common/loop.cpp
@@ -1,4 +1,4 @@
-#include "standins/loop.h"
+#include "standins/common/loop.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/standins/recorder.h
+++ b/standins/common/recorder.h
@@ -5,7 +5,7 @@
 #include <mutex>
 #include <vector>
 
-#include "standins/records.h"
+#include "standins/common/records.h"
 
 namespace nettlestand::standins {
 
--- a/standins/discovery.cpp
+++ b/standins/discovery/discovery.cpp
@@ -1,4 +1,4 @@
-#include "standins/discovery.h"
+#include "standins/discovery/discovery.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -19,7 +19,7 @@
 #include <unordered_map>
 #include <utility>
 
-#include "standins/http.h"
+#include "standins/common/http.h"
 
 namespace nettlestand::standins {
 namespace {
--- a/standins/discovery_main.cpp
+++ b/standins/discovery/discovery_main.cpp
@@ -9,8 +9,8 @@
 #include <thread>
 #include <vector>
 
-#include "standins/discovery.h"
-#include "standins/options.h"
+#include "standins/common/options.h"
+#include "standins/discovery/discovery.h"
 
 namespace {
 
--- /dev/null
+++ b/standins/relay/main.cpp
@@ -0,0 +1,309 @@
+// nettlestand-plain-relay: a yardstick. It sends each request to the server with the least in flight, keeps
+// connections, and does nothing else: no limits, no retries, no health, no deadlines. It reads with the same
+// parser and waits on the same poller as the node, so that what differs between the two is what the node
+// does.
+#include <signal.h>
+
+#include <CLI/CLI.hpp>
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/beast/http.hpp>
+#include <cstdio>
+#include <exception>
+#include <memory>
+#include <optional>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "standins/common/loop.h"
+#include "util/poller.h"
+#include "util/socket.h"
+
+namespace {
+
+namespace ns = nettlestand;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+using boost::system::error_code;
+
+constexpr std::size_t kBodyLimit = 8 * 1024 * 1024;
+
+struct Server {
+  asio::ip::tcp::endpoint address;
+  int in_flight = 0;
+  std::vector<std::unique_ptr<class Upstream>> idle;
+};
+
+struct Relay {
+  explicit Relay(asio::io_context& io) : poller(io) {}
+  ns::Poller poller;
+  std::vector<Server> servers;
+  std::size_t turn = 0;
+  std::array<char, 64 * 1024> scratch{};
+  std::vector<std::unique_ptr<class Upstream>> over;    // ended within a batch of events
+  std::vector<std::unique_ptr<class Downstream>> gone;  // the same
+};
+
+// A socket with what is left to write, and one message read at a time.
+template <bool kRequest>
+class Peer : public ns::Poller::Watcher {
+ public:
+  explicit Peer(Relay& relay) : relay_(relay) {}
+  virtual ~Peer() { close(); }
+  void close() {
+    relay_.poller.remove(key_, socket_.descriptor());
+    key_ = 0;
+    socket_.close();
+  }
+  void put(std::string bytes) {
+    out_ += bytes;
+    flush();
+  }
+
+ protected:
+  using Parser = http::parser<kRequest, http::string_body>;
+
+  void fresh() {
+    parser_.emplace();
+    parser_->body_limit(kBodyLimit);
+    parser_->header_limit(16 * 1024);
+  }
+  void watch() { key_ = relay_.poller.add(socket_.descriptor(), *this); }
+  bool flush() {
+    while (!out_.empty()) {
+      const ssize_t sent = socket_.write(out_, {});
+      if (sent < 0 && ns::Socket::would_block()) return true;
+      if (sent <= 0) return false;
+      out_.erase(0, static_cast<std::size_t>(sent));
+    }
+    return true;
+  }
+  enum class Got { kMore, kMessage, kEnd };
+  // Reads until a message is whole, the socket is empty, or it has ended.
+  Got read() {
+    while (true) {
+      if (!in_.empty()) {
+        error_code error;
+        std::size_t used = 0;
+        do {
+          const std::size_t now = parser_->put(asio::buffer(in_.data() + used, in_.size() - used), error);
+          used += now;
+          if (now == 0) break;
+        } while (!error && !parser_->is_done() && used < in_.size());
+        in_.erase(0, used);
+        if (error && error != http::error::need_more) return Got::kEnd;
+        if (parser_->is_done()) return Got::kMessage;
+      }
+      const ssize_t got = socket_.read(relay_.scratch.data(), relay_.scratch.size());
+      if (got < 0 && ns::Socket::would_block()) return Got::kMore;
+      if (got <= 0) {
+        error_code error;
+        if (got == 0 && parser_->got_some()) parser_->put_eof(error);
+        return got == 0 && !error && parser_->is_done() ? Got::kMessage : Got::kEnd;
+      }
+      in_.append(relay_.scratch.data(), static_cast<std::size_t>(got));
+    }
+  }
+
+  Relay& relay_;
+  ns::Socket socket_;
+  ns::Poller::Key key_ = 0;
+  std::string in_, out_;
+  std::optional<Parser> parser_;
+};
+
+class Downstream;
+
+class Upstream final : public Peer<false> {
+ public:
+  Upstream(Relay& relay, std::size_t server) : Peer(relay), server_(server) {}
+  bool connect() {
+    const int error = socket_.connect(relay_.servers[server_].address);
+    if (error != 0) return false;
+    watch();
+    return key_ != 0;
+  }
+  void serve(Downstream& whom, std::string request, bool head) {
+    for_ = &whom;
+    fresh();
+    if (head) parser_->skip(true);
+    put(std::move(request));
+  }
+  void ready(std::uint32_t events) override;
+  std::size_t server() const { return server_; }
+
+ private:
+  const std::size_t server_;
+  Downstream* for_ = nullptr;
+};
+
+class Downstream final : public Peer<true> {
+ public:
+  Downstream(Relay& relay, ns::Socket&& socket) : Peer(relay), own_(std::move(socket)) { fresh(); }
+  bool start() {
+    std::destroy_at(&socket_);
+    std::construct_at(&socket_, std::move(own_));
+    watch();
+    return key_ != 0;
+  }
+  void ready(std::uint32_t) override {
+    if (!flush()) return end();
+    while (!upstream_) {
+      switch (read()) {
+        case Got::kMore:
+          return;
+        case Got::kEnd:
+          return end();
+        case Got::kMessage:
+          forward();
+      }
+    }
+  }
+  void answered(std::string answer, bool keep_upstream) {
+    std::unique_ptr<Upstream> done = std::move(upstream_);
+    Server& server = relay_.servers[done->server()];
+    --server.in_flight;
+    if (keep_upstream) {
+      server.idle.push_back(std::move(done));
+    } else {
+      done->close();
+      relay_.over.push_back(std::move(done));
+    }
+    out_ += answer;
+    if (!flush() || !keep_alive_) return end();
+    fresh();
+    ready(0);
+  }
+
+ private:
+  void forward() {
+    auto message = parser_->release();
+    keep_alive_ = message.keep_alive();
+    const bool head = message.method() == http::verb::head;
+    message.keep_alive(true);
+    std::ostringstream text;
+    text << message;
+    std::size_t least = relay_.turn++ % relay_.servers.size();
+    for (std::size_t i = 0; i < relay_.servers.size(); ++i) {
+      const std::size_t at = (relay_.turn + i) % relay_.servers.size();
+      if (relay_.servers[at].in_flight < relay_.servers[least].in_flight) least = at;
+    }
+    Server& server = relay_.servers[least];
+    ++server.in_flight;
+    if (!server.idle.empty()) {
+      upstream_ = std::move(server.idle.back());
+      server.idle.pop_back();
+    } else {
+      upstream_ = std::make_unique<Upstream>(relay_, least);
+      if (!upstream_->connect())
+        return answered("HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n", false);
+    }
+    upstream_->serve(*this, text.str(), head);
+  }
+  void end() {
+    if (upstream_) {
+      --relay_.servers[upstream_->server()].in_flight;
+      upstream_->close();
+      relay_.over.push_back(std::move(upstream_));
+    }
+    close();
+    relay_.gone.emplace_back(this);
+  }
+
+  ns::Socket own_;
+  std::unique_ptr<Upstream> upstream_;
+  bool keep_alive_ = true;
+};
+
+void Upstream::ready(std::uint32_t events) {
+  if (for_ == nullptr) {  // idle: it ends, or says what nobody asked for
+    char byte = 0;
+    if ((events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) == 0 && socket_.read(&byte, 1, MSG_PEEK) < 0) return;
+    auto& idle = relay_.servers[server_].idle;
+    for (auto it = idle.begin(); it != idle.end(); ++it) {
+      if (it->get() != this) continue;
+      close();
+      relay_.over.push_back(std::move(*it));
+      idle.erase(it);
+      return;
+    }
+    return;
+  }
+  const bool written = flush();
+  const Got got = written ? read() : Got::kEnd;
+  if (got == Got::kMore) return;
+  Downstream* whom = std::exchange(for_, nullptr);
+  if (got == Got::kEnd) {
+    return whom->answered("HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n", false);
+  }
+  const bool keep = parser_->keep_alive() && in_.empty();
+  auto message = parser_->release();
+  message.keep_alive(true);
+  std::ostringstream text;
+  text << message;
+  whom->answered(text.str(), keep);
+}
+
+class Acceptor final : public ns::Poller::Watcher {
+ public:
+  Acceptor(Relay& relay, int port) : relay_(relay), fd_(ns::standins::listen_on(port)) {
+    relay.poller.add(fd_.get(), *this);
+  }
+  int port() const { return ns::standins::port_of(fd_.get()); }
+  void ready(std::uint32_t) override {
+    while (true) {
+      const int fd = ::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0) return;
+      auto* peer = new Downstream(relay_, ns::Socket(fd));  // owns itself until its end
+      if (!peer->start()) delete peer;
+    }
+  }
+
+ private:
+  Relay& relay_;
+  ns::standins::Fd fd_;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app(
+      "A plain HTTP/1.1 relay on 127.0.0.1, least in flight, with no limits, retries or health: a "
+      "yardstick.\n"
+      "Says \"listening on 127.0.0.1:PORT\" once it does. Ends on SIGTERM or SIGINT.",
+      "nettlestand-plain-relay");
+  int port = 0;
+  std::vector<int> ports;
+  app.add_option("--port", port, "port; 0: the kernel gives one")->check(CLI::Range(0, 65535));
+  app.add_option("--server", ports, "port of a server; may come several times")
+      ->check(CLI::Range(1, 65535))
+      ->required();
+  CLI11_PARSE(app, argc, argv);
+  try {
+    ::signal(SIGPIPE, SIG_IGN);
+    asio::io_context io(1);
+    Relay relay(io);
+    for (const int server : ports) {
+      relay.servers.emplace_back();
+      relay.servers.back().address = {asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(server)};
+    }
+    Acceptor acceptor(relay, port);
+    std::printf("listening on 127.0.0.1:%d\n", acceptor.port());
+    std::fflush(stdout);
+    asio::signal_set ends(io, SIGTERM, SIGINT);
+    ends.async_wait([&](const error_code&, int) { io.stop(); });
+    while (!io.stopped()) {
+      io.run_one();
+      relay.over.clear();
+      relay.gone.clear();
+    }
+    std::_Exit(0);  // what is open ends with the process
+  } catch (const std::exception& problem) {
+    std::fprintf(stderr, "nettlestand-plain-relay: %s\n", problem.what());
+    return 1;
+  }
+}
--- a/standins/script.cpp
+++ b/standins/servers/script.cpp
@@ -1,4 +1,4 @@
-#include "standins/script.h"
+#include "standins/servers/script.h"
 
 #include <algorithm>
 #include <array>
--- a/standins/server.cpp
+++ b/standins/servers/server.cpp
@@ -1,4 +1,4 @@
-#include "standins/server.h"
+#include "standins/servers/server.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -16,7 +16,7 @@
 #include <utility>
 #include <vector>
 
-#include "standins/http.h"
+#include "standins/common/http.h"
 
 namespace nettlestand::standins {
 namespace {
--- a/standins/server.h
+++ b/standins/servers/server.h
@@ -8,9 +8,9 @@
 #include <string>
 #include <string_view>
 
-#include "standins/loop.h"
-#include "standins/recorder.h"
-#include "standins/script.h"
+#include "standins/common/loop.h"
+#include "standins/common/recorder.h"
+#include "standins/servers/script.h"
 
 namespace nettlestand::standins {
 
--- a/standins/server_main.cpp
+++ b/standins/servers/server_main.cpp
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "standins/options.h"
-#include "standins/server.h"
+#include "standins/common/options.h"
+#include "standins/servers/server.h"
 
 namespace {
 
--- a/standins/node_process.cpp
+++ b/standins/world/node_process.cpp
@@ -1,4 +1,4 @@
-#include "standins/node_process.h"
+#include "standins/world/node_process.h"
 
 #include <fcntl.h>
 #include <poll.h>
@@ -21,7 +21,7 @@
 #include <thread>
 #include <utility>
 
-#include "standins/loop.h"
+#include "standins/common/loop.h"
 
 namespace nettlestand::standins {
 namespace {
--- a/standins/node_process.h
+++ b/standins/world/node_process.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "standins/records.h"
+#include "standins/common/records.h"
 
 namespace nettlestand::standins {
 
--- a/tests/faults/availability_test.cpp
+++ b/tests/faults/availability_test.cpp
@@ -3,7 +3,7 @@
 #include <map>
 #include <mutex>
 
-#include "standins/http.h"
+#include "standins/common/http.h"
 #include "tests/faults/parallel.h"
 #include "tests/faults/world.h"
 
--- a/tests/faults/checker_test.cpp
+++ b/tests/faults/checker_test.cpp
@@ -1,5 +1,5 @@
 // The checker: each rule with what breaks it and with what comes near.
-#include "standins/checker.h"
+#include "standins/checker/checker.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/faults/standins_test.cpp
+++ b/tests/faults/standins_test.cpp
@@ -10,7 +10,7 @@
 #include <fstream>
 #include <utility>
 
-#include "standins/http.h"
+#include "standins/common/http.h"
 #include "tests/faults/world.h"
 
 namespace nettlestand::standins::testing {
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -12,8 +12,8 @@
 #include <thread>
 #include <vector>
 
+#include "emulator/grid.h"
 #include "fleet_short.h"
-#include "standins/grid.h"
 
 namespace nettlestand::fleet {
 namespace {
--- a/tests/library/random_rules_test.cpp
+++ b/tests/library/random_rules_test.cpp
@@ -8,7 +8,7 @@
 #include <random>
 #include <thread>
 
-#include "standins/http.h"
+#include "standins/common/http.h"
 #include "standins/standins.h"
 #include "tests/library/application.h"
 
--- a/util/log.h
+++ b/util/log.h
@@ -4,8 +4,15 @@
 #include <functional>
 #include <string>
 
+#include "nettlestand/log.h"
+
 namespace nettlestand {
 
-using Log = std::function<void(const std::string&)>;
+using Log = std::function<void(const LogEvent&)>;
+
+// Something that should not happen, and that the program survives.
+inline LogEvent surprise(std::string_view component, const std::string& what) {
+  return {LogLevel::kError, component, "surprise", "surprise: " + what, {{"what", what}}};
+}
 
 }  // namespace nettlestand
