--- a/standins/callers/load.cpp
+++ b/standins/callers/load.cpp
@@ -11,6 +11,7 @@
 #include <cstdio>
 #include <deque>
 #include <mutex>
+#include <pcg_random.hpp>
 #include <stdexcept>
 #include <unordered_map>
 #include <utility>
@@ -20,28 +21,19 @@
 namespace nettlestand::standins {
 namespace {
 
-constexpr double kLook = 0.005;   // s between looks for calls whose time is up
-constexpr double kPause = 0.01;   // s before a caller of the closed loop that can't connect tries again
-constexpr double kFinest = 1e-6;  // s; latencies below it are one
-constexpr int kPerOctave = 24;    // buckets: 3 %
-constexpr std::size_t kBuckets = 30 * kPerOctave;
+constexpr double kLook = 0.005;  // s between looks for calls whose time is up
+constexpr double kPause = 0.01;  // s before a caller of the closed loop that can't connect tries again
 constexpr std::size_t kNone = static_cast<std::size_t>(-1);
 
-// splitmix64
 class Random {
  public:
-  explicit Random(std::uint64_t seed) : state_(seed) {}
-  std::uint64_t next() {
-    std::uint64_t z = (state_ += 0x9E3779B97F4A7C15ULL);
-    z = (z ^ (z >> 30)) * 0xBF58476D1CE4E5B9ULL;
-    z = (z ^ (z >> 27)) * 0x94D049BB133111EBULL;
-    return z ^ (z >> 31);
-  }
+  explicit Random(std::uint64_t seed) : engine_(seed) {}
+  std::uint64_t next() { return engine_(); }
   double unit() { return static_cast<double>(next() >> 11) * 0x1.0p-53; }
   double gap(double rate) { return -std::log(1 - unit()) / rate; }
 
  private:
-  std::uint64_t state_;
+  pcg64 engine_;
 };
 
 void add(LoadCounts& to, const LoadCounts& from) {
@@ -80,29 +72,6 @@
 
 }  // namespace
 
-void Latencies::add(double seconds) {
-  if (buckets_.empty()) buckets_.resize(kBuckets);
-  const double at = std::log2(std::max(seconds, kFinest) / kFinest) * kPerOctave;
-  ++buckets_[std::min(kBuckets - 1, static_cast<std::size_t>(at))];
-  ++count_;
-}
-
-void Latencies::add(const Latencies& other) {
-  if (other.buckets_.empty()) return;
-  if (buckets_.empty()) buckets_.resize(kBuckets);
-  for (std::size_t i = 0; i < kBuckets; ++i) buckets_[i] += other.buckets_[i];
-  count_ += other.count_;
-}
-
-double Latencies::quantile(double part) const {
-  if (count_ == 0) return 0;
-  const auto wanted = static_cast<std::uint64_t>(std::ceil(part * static_cast<double>(count_)));
-  std::uint64_t seen = 0;
-  std::size_t i = 0;
-  while (i + 1 < kBuckets && (seen += buckets_[i]) < std::max<std::uint64_t>(1, wanted)) ++i;
-  return kFinest * std::exp2((static_cast<double>(i) + 0.5) / kPerOctave);
-}
-
 std::string LoadResult::json() const {
   std::array<char, 64> start{};
   std::snprintf(start.data(), start.size(), "{\"seconds\":%.3f,\"all\":", seconds);
--- a/standins/callers/load.h
+++ b/standins/callers/load.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "standins/common/latencies.h"
 #include "standins/common/loop.h"
 #include "standins/common/recorder.h"
 
@@ -58,19 +59,6 @@
   Recorder* recorder = nullptr;  // null: nothing is recorded
 };
 
-// Latencies in s; those above 1 µs are held to 3 %.
-class Latencies {
- public:
-  void add(double seconds);
-  std::uint64_t count() const { return count_; }
-  double quantile(double part) const;  // 0 where there are none
-  void add(const Latencies& other);
-
- private:
-  std::vector<std::uint64_t> buckets_;
-  std::uint64_t count_ = 0;
-};
-
 // What became of calls; each counts in exactly one of served, refused, failed, timed_out and unsent.
 struct LoadCounts {
   std::uint64_t calls = 0;
--- a/standins/common/http.cpp
+++ b/standins/common/http.cpp
@@ -149,39 +149,7 @@
   return from;
 }
 
-void Digest::add(std::string_view bytes) {
-  while (!bytes.empty()) {
-    const std::size_t held = size_ % rest_.size();
-    std::uint64_t next = 0;
-    if (held == 0 && bytes.size() >= sizeof next) {
-      std::memcpy(&next, bytes.data(), sizeof next);
-      word(next);
-      size_ += sizeof next;
-      bytes.remove_prefix(sizeof next);
-      continue;
-    }
-    rest_[held] = bytes.front();
-    bytes.remove_prefix(1);
-    if (++size_ % rest_.size() != 0) continue;
-    std::memcpy(&next, rest_.data(), sizeof next);
-    word(next);
-  }
-}
-
-std::uint64_t Digest::value() const {
-  Digest out = *this;
-  for (std::size_t i = 0; i < size_ % rest_.size(); ++i) {
-    out.word(static_cast<unsigned char>(rest_[i]));
-  }
-  out.word(size_);
-  return out.state_;
-}
-
-std::uint64_t digest_of(std::string_view bytes) {
-  Digest out;
-  out.add(bytes);
-  return out.value();
-}
+std::uint64_t digest_of(std::string_view bytes) { return XXH64(bytes.data(), bytes.size(), 0); }
 
 std::string hex(std::uint64_t value) {
   static constexpr std::string_view kDigits = "0123456789abcdef";
--- a/standins/common/http.h
+++ b/standins/common/http.h
@@ -8,6 +8,9 @@
 #include <string>
 #include <string_view>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 namespace nettlestand::standins {
 
 // A message that can't be read on.
@@ -31,21 +34,15 @@
 // The head at the start of `bytes`; none until it is whole. Throws BadMessage.
 std::optional<Head> read_head(std::string_view bytes);
 
-// Of bytes, however they are cut into pieces: FNV-1a over words of 8 bytes, for it must keep up with large
-// answers.
+// Of bytes, however they are cut into pieces (XXH64).
 class Digest {
  public:
-  void add(std::string_view bytes);
-  std::uint64_t value() const;
+  Digest() { XXH64_reset(&state_, 0); }
+  void add(std::string_view bytes) { XXH64_update(&state_, bytes.data(), bytes.size()); }
+  std::uint64_t value() const { return XXH64_digest(&state_); }
 
  private:
-  void word(std::uint64_t bytes) {
-    state_ = (state_ ^ bytes) * 0x100000001B3ULL;
-    state_ ^= state_ >> 32;
-  }
-
-  std::uint64_t state_ = 0xCBF29CE484222325ULL, size_ = 0;
-  std::array<char, 8> rest_{};  // the bytes of a word that is not full
+  XXH64_state_t state_;
 };
 
 // Takes a body off a stream, piece by piece.
--- /dev/null
+++ b/standins/common/latencies.h
@@ -0,0 +1,30 @@
+// A distribution of times.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+
+namespace nettlestand::standins {
+
+// Times in s; those from 1 µs to 1,000 s are held to 3 %. Copies are deep.
+class Latencies {
+ public:
+  Latencies();
+  Latencies(const Latencies& other);
+  Latencies(Latencies&&) noexcept;
+  Latencies& operator=(const Latencies& other);
+  Latencies& operator=(Latencies&&) noexcept;
+  ~Latencies();
+
+  void add(double seconds);
+  void add(const Latencies& other);
+  std::uint64_t count() const { return count_; }
+  double quantile(double part) const;  // of 0 to 1; 0 where there are none
+
+ private:
+  struct Buckets;
+  std::unique_ptr<Buckets> buckets_;  // none as long as it is empty
+  std::uint64_t count_ = 0;
+};
+
+}  // namespace nettlestand::standins
--- a/standins/common/loop.cpp
+++ b/standins/common/loop.cpp
@@ -24,11 +24,13 @@
 
 constexpr double kTicks = 0.02;  // s; some of the kernel's
 
-sockaddr_in loopback(int port) {
+sockaddr_in raw(const Address& address) {
   sockaddr_in at{};
   at.sin_family = AF_INET;
-  at.sin_port = htons(static_cast<std::uint16_t>(port));
-  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  at.sin_port = htons(static_cast<std::uint16_t>(address.port));
+  if (inet_pton(AF_INET, address.ip.c_str(), &at.sin_addr) != 1 || (ntohl(at.sin_addr.s_addr) >> 24) != 127) {
+    throw std::runtime_error(address.ip + " is no loopback address");
+  }
   return at;
 }
 
@@ -54,15 +56,19 @@
 }
 
 Fd listen_on(int port, int backlog, bool shared) {
+  return listen_on(Address{"127.0.0.1", port}, backlog, shared);
+}
+
+Fd listen_on(const Address& where, int backlog, bool shared) {
   Fd out(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
   if (!out) fail("no socket");
   const int on = 1;
   setsockopt(out.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (shared) setsockopt(out.get(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
-  const sockaddr_in at = loopback(port);
+  const sockaddr_in at = raw(where);
   if (bind(out.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 ||
       (backlog >= 0 && listen(out.get(), backlog) != 0)) {
-    fail("can't listen on port " + std::to_string(port));
+    fail("can't listen on " + where.text());
   }
   return out;
 }
@@ -74,12 +80,39 @@
   return ntohs(at.sin_port);
 }
 
-Fd connect_to(int port) {
+Fd datagrams_at(const Address& where) {
+  Fd out(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  if (!out) fail("no socket");
+  const sockaddr_in at = raw(where);
+  if (bind(out.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) {
+    fail("can't bind " + where.text());
+  }
+  return out;
+}
+
+Address address_of(int fd) {
+  sockaddr_in at{};
+  socklen_t size = sizeof at;
+  getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
+  std::array<char, INET_ADDRSTRLEN> text{};
+  inet_ntop(AF_INET, &at.sin_addr, text.data(), text.size());
+  return {text.data(), ntohs(at.sin_port)};
+}
+
+Fd connect_to(int port) { return connect_to(Address{"127.0.0.1", port}); }
+
+Fd connect_to(const Address& to, const std::string& from_ip) {
   Fd out(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
   if (!out) return out;
   const int on = 1;
   setsockopt(out.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  const sockaddr_in at = loopback(port);
+  if (!from_ip.empty()) {
+    setsockopt(out.get(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
+    const sockaddr_in from = raw({from_ip, 0});
+    if (bind(out.get(), reinterpret_cast<const sockaddr*>(&from), sizeof from) != 0)
+      fail("can't bind " + from_ip);
+  }
+  const sockaddr_in at = raw(to);
   if (connect(out.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 && errno != EINPROGRESS) {
     out.close();
   }
--- a/standins/common/loop.h
+++ b/standins/common/loop.h
@@ -2,6 +2,7 @@
 // on such loops, many of them on one.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -32,6 +33,22 @@
   int fd_;
 };
 
+// An address on this machine's loopback, 127.0.0.0/8.
+struct Address {
+  std::string ip = "127.0.0.1";
+  int port = 0;
+  std::string text() const { return ip + ":" + std::to_string(port); }
+  auto operator<=>(const Address&) const = default;
+};
+
+// As below, at any loopback address.
+Fd listen_on(const Address& at, int backlog = 4096, bool shared = false);
+// From an address of this machine, where one is named: the far side sees it.
+Fd connect_to(const Address& to, const std::string& from_ip = "");
+// A bound, non-blocking UDP socket. Throws std::runtime_error.
+Fd datagrams_at(const Address& at);
+Address address_of(int fd);
+
 // A non-blocking listener on 127.0.0.1. Port 0: the kernel gives one. `shared`: several may listen on the
 // same port (SO_REUSEPORT). A backlog below 0 takes the port and does not listen: connections to it are
 // refused, and nobody else is given it. Throws std::runtime_error.
