Budget a cold server's traffic by the copies that use it

Cause: Impl::budget_allows() (src/brain.cpp) gave each copy a cold server's part of the copy's own traffic as if the copy spread it over all servers; yet each sends to its subset alone. With 50 copies and subsets of 9 out of 220 a server's two copies together gave it a twentieth of what it could do: it stood idle for the whole ramp, the warm part of each subset drowned, answers took 0.7 of the aim, and clients came again three times. Change: a server of the copy's own subset gets its part of what the copy sends to the subset; others as before.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -245,6 +245,7 @@
     stays_ = settings_.cross_zone_price > 0 && servers_.near().size() > 0;
     subset_[0] = window_of(stays_ ? servers_.near() : all);
     subset_[1] = stays_ ? window_of(servers_.far()) : Window{};
+    spread_ = static_cast<double>(all.size()) / std::max(1.0, static_cast<double>(subset_size()));
     const double callers = static_cast<double>(settings_.copy_count) * static_cast<double>(subset_size());
     sharers_ = std::max(1.0, callers / std::max(1.0, static_cast<double>(all.size())));
   }
@@ -286,12 +287,23 @@
     return admitted_.at(now_) / -std::expm1((began_ - now_ - kBucket) / kAdmittedMemory);
   }
 
+  // Whether a server is in the subset: the ring is in the servers' order.
+  bool is_ours(const ServerNode& s) const {
+    const Window& w = subset_[is_far(s) ? 1 : 0];
+    if (w.ring == nullptr || w.size == 0) return false;
+    if (w.size == w.ring->size()) return true;
+    const auto order = [&](std::size_t i) {
+      return servers_[w.ring->at((w.start + i) % w.ring->size())].order;
+    };
+    return s.order - order(0) <= order(w.size - 1) - order(0);  // round the end, as orders wrap too
+  }
+
   // Whether a cold server's budget at this copy has room. Danger: all copies together can push a cold server
   // over; each spends no more than the server's part of its own traffic, scaled to what it can do so far.
   bool budget_allows(ServerNode& s) {
     const double warm = warmth(s);
     if (warm >= 1) return true;
-    const double part = admitted_rate() * s.told.weight / usual_weight_;
+    const double part = admitted_rate() * s.told.weight / usual_weight_ * (is_ours(s) ? spread_ : 1);
     s.cold_tokens = std::min(1.0 + part * 0.1,
                              s.cold_tokens + (now_ - s.cold_at) * part * std::min(1.0, warm * cold_budget()));
     s.cold_at = now_;
@@ -697,6 +709,7 @@
   FadingMean near_{kAnswerMemory, kZoneAnswers}, far_{kAnswerMemory, kZoneAnswers};  // answer times
   double far_part_ = 0;
   double sharers_ = 1;  // copies that use the same server
+  double spread_ = 1;   // servers for each one of the subset
   FadingRate admitted_{kAdmittedMemory}, over_{kAdmittedMemory};
   double next_cold_look_ = -kForever;
   double began_ = kForever;                         // when the first list came
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -409,5 +409,39 @@
   }
 }
 
+// A third of a large tier is lost and returns cold before many copies with small subsets. Each copy budgets
+// for the servers that it uses by the traffic that it sends to those: by a like part of all servers, as it
+// was, a server's few copies together gave it a twentieth of what it could do, and it stood idle until it was
+// warm (zone+mass).
+TEST(Returns, AThirdThatReturnsColdCarriesWhatItCan) {
+  Spec spec;
+  spec.servers = 220;
+  spec.copies = 50;
+  spec.aim = 0.5;
+  spec.give_up = 1;
+  const double capacity = static_cast<double>(spec.servers) * spec.cores / spec.work;
+  spec.tenants = {{capacity, 0.6 * capacity}};
+  spec.seconds = 11;
+  spec.changes = {{1.5, 0, 66, quinceusher::ServerState::kGone, false},
+                  {4, 0, 66, quinceusher::ServerState::kReady, true}};
+  const Result result = play(spec);
+  double sent = 0, able = 0;
+  for (std::size_t second = 5; second < 10; ++second) {
+    for (std::size_t i = 0; i < 66; ++i) sent += result.sent_by_second[i].at(second);
+    const double age = static_cast<double>(second) - 4 + 0.5;
+    able += 66 * spec.cores / spec.work *
+            (spec.start_capacity + (1 - spec.start_capacity) * age / spec.ramp_time);
+  }
+  EXPECT_GT(sent, 0.4 * able) << "of " << able << " that they could do they were sent " << sent;
+  EXPECT_EQ(result.fallen_over, 0U);
+  EXPECT_EQ(result.sent_after_drain, 0U);
+  double in_aim = 0, asked = 0;
+  for (std::size_t second = 5; second < 10; ++second) {
+    in_aim += static_cast<double>(result.seconds[second].in_aim);
+    asked += static_cast<double>(result.seconds[second].asked);
+  }
+  EXPECT_GT(in_aim, 0.97 * asked);
+}
+
 }  // namespace
 }  // namespace nettlestand::fleet
