--- a/daemon/log.cpp
+++ b/daemon/log.cpp
@@ -136,8 +136,11 @@
   switch (options_.format) {
     case LogOptions::Format::kText:
       return it->second.log(level, to_text(*told));
-    case LogOptions::Format::kJson:
-      return it->second.log(level, to_json_members(*told));
+    case LogOptions::Format::kJson: {
+      char mono[40];
+      std::snprintf(mono, sizeof mono, "\"mono\":%.3f,", now());
+      return it->second.log(level, mono + to_json_members(*told));
+    }
     default: {
       char time[32];
       std::snprintf(time, sizeof time, "%.3f ", now());
--- a/daemon/log.h
+++ b/daemon/log.h
@@ -19,7 +19,7 @@
   enum class Format {
     kPlain,  // seconds of the steady clock and a sentence
     kText,   // UTC, level, component, event, fields, sentence
-    kJson    // the same as one object
+    kJson    // the same as one object, with `mono`, the steady clock's seconds
   };
   Format format = Format::kPlain;
   LogLevel level = LogLevel::kInfo;
--- a/standins/callers/load.cpp
+++ b/standins/callers/load.cpp
@@ -242,7 +242,7 @@
 
   void open(std::size_t target, Call&& call) {
     Fd fd;
-    if (connections_.size() < s.most) fd = connect_to(s.targets[target].port);
+    if (connections_.size() < s.most) fd = connect_to(Address{s.targets[target].ip, s.targets[target].port});
     if (!fd) return finish(nullptr, call, target, CallEnd::kNoConnect, now(), 0, 0, false);
     auto made = std::make_unique<Connection>(*this, std::move(fd), target, ++last_connection_);
     Connection& c = *made;
--- a/standins/callers/load.h
+++ b/standins/callers/load.h
@@ -38,7 +38,8 @@
 
 struct LoadTarget {
   std::string node = "n1";  // its name in the records
-  int port = 0;             // on 127.0.0.1
+  int port = 0;
+  std::string ip = "127.0.0.1";
 };
 
 struct LoadSettings {
--- a/standins/common/records.h
+++ b/standins/common/records.h
@@ -14,6 +14,7 @@
 struct ConnectionRecord {
   std::string server;
   int port = 0;
+  int peer_port = 0;  // of the far side, as the server sees it
   double accepted_at = 0, closed_at = 0;
   Closer closed_by = Closer::kNobody;
   bool reset = false;        // it ended with RST, whoever sent it
--- a/standins/discovery/discovery.cpp
+++ b/standins/discovery/discovery.cpp
@@ -24,20 +24,22 @@
 namespace nettlestand::standins {
 namespace {
 
-std::string json_of(const Listing& s) {
+using Dial = std::function<std::string(const Listing&)>;
+
+std::string json_of(const Listing& s, const Dial& dial) {
   std::array<char, 32> share{};
   std::snprintf(share.data(), share.size(), "%.6g", s.share);
-  return R"({"host":")" + s.host + R"(","dial":"127.0.0.1:)" + std::to_string(s.port) + R"(","site":")" +
-         s.site + R"(","class":")" + s.kind + R"(","block":)" + std::to_string(s.block) + R"(,"health":")" +
-         s.health + R"(","share":)" + share.data() + R"(,"born_ms":)" + std::to_string(s.born_ms) + "}";
+  return R"({"host":")" + s.host + R"(","dial":")" + dial(s) + R"(","site":")" + s.site + R"(","class":")" +
+         s.kind + R"(","block":)" + std::to_string(s.block) + R"(,"health":")" + s.health + R"(","share":)" +
+         share.data() + R"(,"born_ms":)" + std::to_string(s.born_ms) + "}";
 }
 
-std::string json_of(std::uint64_t seq, bool whole, const std::vector<Listing>& servers) {
+std::string json_of(std::uint64_t seq, bool whole, const std::vector<Listing>& servers, const Dial& dial) {
   std::string out =
       R"({"seq":)" + std::to_string(seq) + R"(,"whole":)" + (whole ? "true" : "false") + R"(,"hosts":[)";
   for (const Listing& s : servers) {
     if (out.back() != '[') out += ',';
-    out += json_of(s);
+    out += json_of(s, dial);
   }
   return out + "]}";
 }
@@ -62,11 +64,12 @@
     while (!connections_.empty()) close(*connections_.begin()->second);
   }
 
-  int endpoint(const std::string& node, int fixed) {
+  int endpoint(const std::string& node, int fixed, const std::string& ip) {
     auto& e = endpoints_[node];
     if (!e) {
       e = std::make_unique<Endpoint>(*this, node);
-      e->place = listen_on(fixed, -1);
+      e->ip = ip;
+      e->place = listen_on(Address{ip, fixed}, -1);
       e->port = port_of(e->place.get());
       follow_mode(*e);
     }
@@ -86,13 +89,12 @@
       }
       history_[s.host] = {seq_, s};
     }
-    const std::string line = json_of(seq_, false, servers) + "\n";
     std::vector<Connection*>
         watching;  // telling one may close it; closed ones live until the loop's next round
     for (const auto& [id, c] : connections_) {
       if (c->watching) watching.push_back(c.get());
     }
-    for (Connection* c : watching) tell(*c, line, servers);
+    for (Connection* c : watching) tell(*c, json_of(seq_, false, servers, dial_of(*c)) + "\n", servers);
   }
 
   void state(const std::string& host, const std::string& health) {
@@ -128,16 +130,24 @@
                                                   [](const auto& entry) { return entry.second->watching; }));
   }
 
+  std::function<std::string(const std::string&, const Listing&)> dial;
   double lag = 0;
   std::uint64_t asked = 0;
 
  private:
+  template <class C>
+  Dial dial_of(const C& c) const {
+    return [this, &c](const Listing& s) {
+      return dial ? dial(c.at.node, s) : "127.0.0.1:" + std::to_string(s.port);
+    };
+  }
   struct Endpoint : Watcher {
     Endpoint(Impl& owner, std::string node) : owner(owner), node(std::move(node)) {}
     void ready(std::uint32_t) override { owner.accept(*this); }
     Impl& owner;
     std::string node;
     Fd place, listener;
+    std::string ip;
     int port = 0;
     bool listening = false;
     std::set<std::string> known;  // the servers that it was told of
@@ -164,7 +174,7 @@
     const bool wanted = mode_ != Mode::kRefuse;
     if (wanted == e.listening) return;
     if (wanted) {
-      e.listener = listen_on(e.port);
+      e.listener = listen_on(Address{e.ip, e.port});
       loop_.add(e.listener.get(), EPOLLIN, &e);
     } else {
       loop_.remove(e.listener.get());
@@ -223,7 +233,7 @@
       return write(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", {});
     }
     if (target.find("stream=1") == std::string::npos) {
-      const std::string body = json_of(seq_, true, list()) + "\n";
+      const std::string body = json_of(seq_, true, list(), dial_of(c)) + "\n";
       return later(c, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
                    whole_told(c.at));
     }
@@ -236,12 +246,13 @@
         index != std::string::npos &&
         std::from_chars(target.data() + index + 6, target.data() + target.size(), since).ec == std::errc() &&
         since >= oldest_ && since <= seq_;
-    if (!asked_since) return later(c, chunk_of(json_of(seq_, true, list()) + "\n"), whole_told(c.at));
+    if (!asked_since)
+      return later(c, chunk_of(json_of(seq_, true, list(), dial_of(c)) + "\n"), whole_told(c.at));
     std::vector<Listing> changed;
     for (const auto& [host, entry] : history_) {
       if (entry.first > since) changed.push_back(entry.second);
     }
-    if (!changed.empty()) tell(c, json_of(seq_, false, changed) + "\n", changed);
+    if (!changed.empty()) tell(c, json_of(seq_, false, changed, dial_of(c)) + "\n", changed);
   }
 
   // A whole list tells of all that it holds, and that what it lacks is gone.
@@ -344,12 +355,16 @@
   loop_.call([&] { impl_.reset(); });
 }
 
-int ScriptedDiscovery::endpoint(const std::string& node, int fixed) {
+int ScriptedDiscovery::endpoint(const std::string& node, int fixed, const std::string& ip) {
   int out = 0;
-  loop_.call([&] { out = impl_->endpoint(node, fixed); });
+  loop_.call([&] { out = impl_->endpoint(node, fixed, ip); });
   return out;
 }
 
+void ScriptedDiscovery::dial_by(std::function<std::string(const std::string&, const Listing&)> dial) {
+  loop_.call([&] { impl_->dial = std::move(dial); });
+}
+
 void ScriptedDiscovery::set(const Listing& server) { set(std::vector{server}); }
 
 void ScriptedDiscovery::set(const std::vector<Listing>& servers) {
--- a/standins/discovery/discovery.h
+++ b/standins/discovery/discovery.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -43,7 +44,9 @@
 
   // The port at which the node of this name asks; a new one with the first call. `fixed`: that port, 0: the
   // kernel gives one.
-  int endpoint(const std::string& node, int fixed = 0);
+  int endpoint(const std::string& node, int fixed = 0, const std::string& ip = "127.0.0.1");
+  // How a node reaches a server, where that differs from 127.0.0.1 and the server's port. Called on the loop.
+  void dial_by(std::function<std::string(const std::string& node, const Listing& server)> dial);
 
   // Adds a server, or changes it: watches are told. One that is `left` goes from the list.
   void set(const Listing& server);
--- a/standins/links/network.cpp
+++ b/standins/links/network.cpp
@@ -25,6 +25,7 @@
 constexpr double kLook = 0.005;           // s between looks at who listens
 constexpr std::size_t kHeld = 64 * 1024;  // bytes of a direction that wait in the relay
 constexpr int kKernelBuffer = 64 * 1024;  // and in each socket, so that a stalled reader is felt soon
+constexpr double kHeldBack = 0.005;       // s; what takes longer is told of in held()
 constexpr int kMostMachines = 250, kLockPort = 65001;
 
 using Pair = std::pair<int, int>;  // from, to
@@ -121,6 +122,8 @@
     for (auto& [at, entrance] : entrances_) follow(*entrance);
   }
 
+  std::vector<Held> held;
+
   Counts counts(int from, int to) const {
     const auto it = ways_.find({from, to});
     return it == ways_.end() ? Counts{} : it->second.counts;
@@ -422,6 +425,9 @@
           continue;
         }
         road(a, b).counts.bytes += static_cast<std::uint64_t>(sent);
+        if (from == 0 && now() - piece.sent > kHeldBack) {
+          held.push_back({address_of(to.fd.get()).port, piece.sent, now()});
+        }
         pump.held -= static_cast<std::size_t>(sent);
         piece.bytes.erase(0, static_cast<std::size_t>(sent));
         if (!piece.bytes.empty()) break;
@@ -655,6 +661,9 @@
 void Network::look() {
   loop_.call([&] { impl_->look(); });
 }
+std::vector<Network::Held> Network::held() const {
+  return on(loop_, [&] { return impl_->held; });
+}
 Network::Counts Network::counts(int from, int to) const {
   return on(loop_, [&] { return impl_->counts(from, to); });
 }
--- a/standins/links/network.h
+++ b/standins/links/network.h
@@ -23,6 +23,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "standins/common/loop.h"
 #include "standins/links/way.h"
@@ -72,6 +73,13 @@
 
   Counts counts(int from, int to) const;
 
+  // Bytes of streams that came to the far side well after they were sent, as a cut way held them back.
+  struct Held {
+    int source_port = 0;             // as the far side sees it
+    double sent = 0, delivered = 0;  // s
+  };
+  std::vector<Held> held() const;
+
  private:
   class Impl;
   Loop& loop_;
--- a/standins/servers/server.cpp
+++ b/standins/servers/server.cpp
@@ -57,7 +57,7 @@
       : settings(std::move(settings)), loop_(loop), random_(this->settings.seed) {
     if (!this->settings.memory) this->settings.memory = std::make_shared<DedupMemory>();
     // Holds the port while the listener is closed: nobody else must be given it then.
-    place_ = listen_on(this->settings.port, -1, this->settings.shared_port);
+    place_ = listen_on(Address{this->settings.ip, this->settings.port}, -1, this->settings.shared_port);
     port = port_of(place_.get());
     follow_faults();
     if (this->settings.idle_close > 0) sweep();
@@ -217,11 +217,11 @@
       filler_.close();
       return;
     }
-    if (!listener_) listener_ = listen_on(port, 4096, settings.shared_port);
+    if (!listener_) listener_ = listen_on(Address{settings.ip, port}, 4096, settings.shared_port);
     if (hangs && !filler_) {
       // With room for one in the accept queue and that one taken, further connections never come up.
       listen(listener_.get(), 0);
-      filler_ = connect_to(port);
+      filler_ = connect_to(Address{settings.ip, port});
       filler_port_ = port_of(filler_.get());
     } else if (!hangs && filler_) {
       listen(listener_.get(), 4096);
@@ -281,7 +281,8 @@
       Connection& c = *made;
       c.used_at = now();
       if (settings.recorder != nullptr) {
-        c.record = settings.recorder->open(ConnectionRecord{settings.name, port, c.used_at});
+        c.record =
+            settings.recorder->open(ConnectionRecord{settings.name, port, ntohs(from.sin_port), c.used_at});
       }
       loop_.add(c.fd.get(), EPOLLIN | EPOLLRDHUP, &c);
       connections_.emplace(c.id, std::move(made));
--- a/standins/servers/server.h
+++ b/standins/servers/server.h
@@ -27,6 +27,7 @@
 
 struct ServerSettings {
   std::string name = "s0";                   // as discovery names it
+  std::string ip = "127.0.0.1";              // where it listens
   int port = 0;                              // 0: the kernel gives one
   bool shared_port = false;                  // others may listen on it too, each on its own loop
   int cores = 0;                             // requests that it works on at a time; 0: any number
--- a/standins/world/node_process.cpp
+++ b/standins/world/node_process.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -14,6 +15,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <iterator>
 #include <sstream>
 #include <stdexcept>
@@ -26,9 +28,9 @@
 namespace nettlestand::standins {
 namespace {
 
-constexpr double kPatience = 20;                                // s; only ends what would hang
-constexpr auto kLook = std::chrono::milliseconds(4);            // between looks at what tells no other way
-constexpr std::string_view kWords = "listening on 127.0.0.1:";  // of the log
+constexpr double kPatience = 20;                      // s; only ends what would hang
+constexpr auto kLook = std::chrono::milliseconds(4);  // between looks at what tells no other way
+constexpr std::string_view kWords = "listening on ";  // of the log, before the address
 
 std::string temporary(const char* what) {
   static std::atomic<int> count = 0;
@@ -45,11 +47,12 @@
 
 std::string NodeConfig::json() const {
   std::ostringstream out;
-  out << R"({"name":")" << name << R"(","listen":"127.0.0.1:)" << listen << R"(","discovery":"127.0.0.1:)"
-      << discovery << R"(","seed":")" << seed << R"(","limits":{"sockets":)" << sockets << R"(,"memory_mb":)"
-      << memory_mb << "}," << (known.empty() ? "" : "\"known\":" + known + ",") << more
-      << R"("settings":{"position":)" << position << R"(,"peersTotal":)" << peers << R"(,"stage":)" << stage
-      << R"(,"registryMode":")" << (subscribe ? "subscribe" : "push") << R"(","azs":[)";
+  out << R"({"name":")" << name << R"(","listen":")" << ip << ":" << listen << R"(","discovery":")"
+      << discovery_ip << ":" << discovery << R"(","seed":")" << seed << R"(","limits":{"sockets":)" << sockets
+      << R"(,"memory_mb":)" << memory_mb << "}," << (known.empty() ? "" : "\"known\":" + known + ",") << more
+      << R"("settings":{"zone":)" << zone << R"(,"position":)" << position << R"(,"peersTotal":)" << peers
+      << R"(,"stage":)" << stage << R"(,"registryMode":")" << (subscribe ? "subscribe" : "push")
+      << R"(","azs":[)";
   for (std::size_t i = 0; i < zones.size(); ++i) out << (i > 0 ? "," : "") << '"' << zones[i] << '"';
   out << R"(],"bounds":{"cancel":)" << (cancel ? "true" : "false") << R"(,"maxAttempts":)" << attempts
       << R"(,"secondCopies":)" << (second_copies ? "true" : "false") << R"(,"retryAfter":)"
@@ -73,32 +76,53 @@
   return out.str();
 }
 
-NodeProcess::NodeProcess(std::string binary, const NodeConfig& config, unsigned descriptors)
+namespace {
+
+// Runs f on a thread that lives as long as this process: a child is told to die with the thread that has made
+// it.
+pid_t on_spawner(const std::function<pid_t()>& f) {
+  static LoopThread* const spawner = new LoopThread;  // never ended
+  pid_t out = -1;
+  spawner->loop().call([&] { out = f(); });
+  return out;
+}
+
+}  // namespace
+
+NodeProcess::NodeProcess(std::string binary, const NodeConfig& config, ProcessOptions options)
     : binary_(std::move(binary)), config_path_(temporary("config")), log_path_(temporary("log")) {
   write_file(config_path_, config.json());
   const Fd log(open(log_path_.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_APPEND | O_CLOEXEC, 0600));
   if (!log) throw std::runtime_error("can't write " + log_path_);
   // All that needs memory comes before the fork: other threads may hold its locks.
-  std::vector<std::string> kept = {"GW_CONFIG=" + config_path_};
+  std::vector<std::string> kept = options.environment;
+  kept.push_back("GW_CONFIG=" + config_path_);
   for (char** e = environ; *e != nullptr; ++e) {
     if (std::string(*e).rfind("GW_CONFIG=", 0) != 0) kept.emplace_back(*e);
   }
   std::vector<char*> environment;
   for (std::string& e : kept) environment.push_back(e.data());
   environment.push_back(nullptr);
-  std::array<char*, 2> arguments = {binary_.data(), nullptr};
+  std::vector<char*> arguments = {binary_.data()};
+  for (std::string& a : options.arguments) arguments.push_back(a.data());
+  arguments.push_back(nullptr);
+  ip_ = config.ip;
   life_.node = config.name;
   life_.started_at = now();
-  child_ = fork();
-  if (child_ < 0) throw std::runtime_error("can't fork");
-  if (child_ == 0) {
+  const pid_t parent = getpid();
+  child_ = on_spawner([&] {
+    const pid_t child = fork();
+    if (child != 0) return child;
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != parent) _exit(127);  // this process is dead already
     dup2(log.get(), 1);
     dup2(log.get(), 2);
-    const rlimit limit{descriptors, descriptors};
+    const rlimit limit{options.descriptors, options.descriptors};
     setrlimit(RLIMIT_NOFILE, &limit);
     execve(binary_.c_str(), arguments.data(), environment.data());
     _exit(127);
-  }
+  });
+  if (child_ < 0) throw std::runtime_error("can't fork");
 }
 
 NodeProcess::~NodeProcess() {
@@ -129,9 +153,10 @@
 int NodeProcess::port() {
   for (const double from = now(); port_ == 0;) {
     const std::string text = log();
-    const std::size_t at = text.find(kWords);
+    const std::string words = std::string(kWords) + ip_ + ":";
+    const std::size_t at = text.find(words);
     if (at != std::string::npos && text.find('\n', at) != std::string::npos) {
-      port_ = std::stoi(text.substr(at + kWords.size()));
+      port_ = std::stoi(text.substr(at + words.size()));
     } else if (!running() || now() - from > kPatience) {
       throw std::runtime_error("the node does not listen: " + text);
     } else {
@@ -142,7 +167,7 @@
 }
 
 int NodeProcess::health() {
-  const Fd fd = connect_to(port());
+  const Fd fd = connect_to(Address{ip_, port()});
   if (!fd) return 0;
   pollfd p{fd.get(), POLLOUT, 0};
   poll(&p, 1, 1000);
@@ -169,6 +194,33 @@
   if (which == SIGKILL) reap(true);  // so that its end is known to the moment
 }
 
+void NodeProcess::pause() {
+  if (child_ <= 0) return;
+  kill(child_, SIGSTOP);
+  siginfo_t told{};
+  waitid(P_PID, static_cast<id_t>(child_), &told, WSTOPPED | WEXITED | WNOWAIT);
+}
+
+void NodeProcess::resume() {
+  if (child_ > 0) kill(child_, SIGCONT);
+}
+
+ProcessTimes NodeProcess::times() const {
+  ProcessTimes out;
+  if (child_ <= 0) return out;
+  std::ifstream in("/proc/" + std::to_string(child_) + "/schedstat");
+  if (in >> out.ran >> out.waited) return {out.ran * 1e-9, out.waited * 1e-9};
+  return {};
+}
+
+std::size_t NodeProcess::resident_kb() const {
+  std::ifstream in("/proc/" + std::to_string(child_) + "/status");
+  for (std::string line; std::getline(in, line);) {
+    if (line.rfind("VmRSS:", 0) == 0) return static_cast<std::size_t>(std::stoul(line.substr(6)));
+  }
+  return 0;
+}
+
 void NodeProcess::reload(const NodeConfig& config) {
   write_file(config_path_, config.json());
   signal(SIGHUP);
--- a/standins/world/node_process.h
+++ b/standins/world/node_process.h
@@ -27,8 +27,11 @@
 // What a node is told; json() is its configuration.
 struct NodeConfig {
   std::string name = "n1";
-  int listen = 0;     // port on 127.0.0.1; 0: the kernel gives one
-  int discovery = 0;  // port on 127.0.0.1
+  std::string ip = "127.0.0.1";
+  int listen = 0;     // port; 0: the kernel gives one
+  int discovery = 0;  // port
+  std::string discovery_ip = "127.0.0.1";
+  int zone = 0;  // its own, a place in `zones`
   std::string seed = "8c1f30d27a5be964";
   int sockets = 1024, memory_mb = 64;
   int stage = 1, peers = 1, position = 0;  // its tier, how many nodes stand before it, its number among them
@@ -47,11 +50,25 @@
   std::string json() const;
 };
 
-// One process. Not for two threads at once. Ends only what it has started, at the latest with its own end.
+// What a process is started with besides.
+struct ProcessOptions {
+  unsigned descriptors = 1024;           // its limit
+  std::vector<std::string> arguments;    // of the program
+  std::vector<std::string> environment;  // NAME=VALUE, beside this process's own
+};
+
+// What the machine has given a process, in s.
+struct ProcessTimes {
+  double ran = 0;     // on a core
+  double waited = 0;  // ready to run, and no core was free
+};
+
+// One process. Not for two threads at once. Ends only what it has started, at the latest with its own end,
+// and also where this process dies first.
 class NodeProcess {
  public:
-  // `binary`: the node's file. `descriptors`: its limit. Throws std::runtime_error.
-  NodeProcess(std::string binary, const NodeConfig& config, unsigned descriptors = 1024);
+  // `binary`: the node's file. Throws std::runtime_error.
+  NodeProcess(std::string binary, const NodeConfig& config, ProcessOptions options = {});
   ~NodeProcess();
   NodeProcess(const NodeProcess&) = delete;
   NodeProcess& operator=(const NodeProcess&) = delete;
@@ -71,13 +88,18 @@
   bool running();
   std::string log() const;
   pid_t pid() const { return child_; }
+  // SIGSTOP and SIGCONT. Returns once the process stands, or runs again.
+  void pause();
+  void resume();
+  ProcessTimes times() const;
+  std::size_t resident_kb() const;
   // When it was started, signalled and ended, as far as that is known by now.
   const NodeLife& life() const { return life_; }
 
  private:
   bool reap(bool wait);
 
-  std::string binary_, config_path_, log_path_;
+  std::string binary_, config_path_, log_path_, ip_;
   pid_t child_ = -1;
   int status_ = 0, port_ = 0;
   NodeLife life_;
--- /dev/null
+++ b/standins/world/timeline.cpp
@@ -0,0 +1,177 @@
+#include "standins/world/timeline.h"
+
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <sstream>
+
+namespace nettlestand::standins {
+namespace {
+
+std::string fixed(double value, int digits = 4) {
+  char out[40];
+  std::snprintf(out, sizeof out, "%.*f", digits, value);
+  return out;
+}
+
+const char* name_of(CallEnd end) {
+  switch (end) {
+    case CallEnd::kAnswered:
+      return "answered";
+    case CallEnd::kCut:
+      return "cut";
+    case CallEnd::kClosed:
+      return "closed";
+    case CallEnd::kTimedOut:
+      return "timed out";
+    case CallEnd::kNoConnect:
+      return "no connection";
+    default:
+      return "open";
+  }
+}
+
+}  // namespace
+
+void add_records(Timeline& t) {
+  for (const CallRecord& c : t.evidence.calls) {
+    t.entries.push_back({c.first_byte_at > 0 ? c.first_byte_at : c.answered_at,
+                         c.node,
+                         "call",
+                         c.id,
+                         {{"class", c.request_class}, {"tenant", c.tenant}}});
+    if (c.answered_at > 0) {
+      t.entries.push_back({c.answered_at,
+                           c.node,
+                           "answer",
+                           c.id,
+                           {{"end", name_of(c.end)}, {"status", std::to_string(c.status)}}});
+    }
+  }
+  for (const AttemptRecord& a : t.evidence.attempts) {
+    t.entries.push_back({a.first_byte_at,
+                         a.server,
+                         "attempt",
+                         a.id,
+                         {{"ran", a.may_have_run() ? "yes" : "no"},
+                          {"status", std::to_string(a.status)},
+                          {"took", a.answered_at > 0 ? fixed(a.answered_at - a.first_byte_at) : ""}}});
+  }
+  for (const ToldRecord& told : t.evidence.told) {
+    t.entries.push_back({told.told_at > 0 ? told.told_at : told.changed_at,
+                         told.node,
+                         "told",
+                         told.server + " " + told.state + (told.told_at > 0 ? "" : " (not yet)"),
+                         {}});
+  }
+  for (const FellOver& f : t.evidence.fallen) {
+    t.entries.push_back(
+        {f.at, f.server, "life", "fell over", {{"asked", fixed(f.asked)}, {"able", fixed(f.able)}}});
+  }
+  for (const NodeLife& life : t.evidence.lives) {
+    if (life.started_at > 0) t.entries.push_back({life.started_at, life.node, "life", "started", {}});
+    if (life.term_at > 0) t.entries.push_back({life.term_at, life.node, "life", "SIGTERM", {}});
+    if (life.ended_at > 0) {
+      t.entries.push_back({life.ended_at, life.node, "life", life.killed ? "killed" : "ended", {}});
+    }
+  }
+}
+
+void add_log(Timeline& t, const std::string& node, const std::string& log) {
+  std::istringstream in(log);
+  double last = t.began;
+  for (std::string line; std::getline(in, line);) {
+    rapidjson::Document d;
+    d.Parse(line.c_str(), line.size());
+    if (d.HasParseError() || !d.IsObject() || !d.HasMember("mono") || !d["mono"].IsNumber()) {
+      t.entries.push_back({last, node, "log", line, {}});
+      continue;
+    }
+    TimelineEntry entry{last = d["mono"].GetDouble(), node, "log", "", {}};
+    for (const auto& member : d.GetObject()) {
+      const std::string name = member.name.GetString();
+      if (name == "mono" || name == "time") continue;
+      std::string value;
+      if (member.value.IsString()) {
+        value = member.value.GetString();
+      } else {
+        rapidjson::StringBuffer buffer;
+        rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+        member.value.Accept(writer);
+        value = buffer.GetString();
+      }
+      entry.fields[name] = value;
+    }
+    entry.what = entry.fields["component"] + "." + entry.fields["event"];
+    t.entries.push_back(std::move(entry));
+  }
+}
+
+void sort(Timeline& t) {
+  std::stable_sort(t.entries.begin(), t.entries.end(),
+                   [](const TimelineEntry& a, const TimelineEntry& b) { return a.at < b.at; });
+}
+
+std::string Timeline::text(const std::function<bool(const TimelineEntry&)>& holds) const {
+  std::string out;
+  for (const TimelineEntry& e : entries) {
+    const bool traffic = e.kind == "call" || e.kind == "attempt" || e.kind == "answer";
+    if (holds ? !holds(e) : traffic) continue;
+    out += fixed(e.at - began) + " " + e.who + " " + e.kind + " " + e.what;
+    for (const auto& [name, value] : e.fields) out += " " + name + "=" + value;
+    out += '\n';
+  }
+  return out;
+}
+
+std::string Timeline::json_lines() const {
+  std::string out;
+  for (const TimelineEntry& e : entries) {
+    rapidjson::StringBuffer buffer;
+    rapidjson::Writer<rapidjson::StringBuffer> w(buffer);
+    w.StartObject();
+    w.Key("at");
+    w.Double(e.at - began);
+    const auto put = [&](const std::string& name, const std::string& value) {
+      w.Key(name.c_str());
+      w.String(value.c_str(), static_cast<rapidjson::SizeType>(value.size()));
+    };
+    put("who", e.who);
+    put("kind", e.kind);
+    put("what", e.what);
+    w.Key("fields");
+    w.StartObject();
+    for (const auto& [name, value] : e.fields) put(name, value);
+    w.EndObject();
+    w.EndObject();
+    out.append(buffer.GetString(), buffer.GetSize()).append("\n");
+  }
+  return out;
+}
+
+std::vector<TimelineRule> four_rules(const CheckerSettings& settings) {
+  std::vector<TimelineRule> out;
+  for (const Rule rule : {Rule::kLost, Rule::kTwice, Rule::kDrain, Rule::kColdServer}) {
+    out.push_back({standins::name_of(rule), [rule, settings](const Timeline& t) {
+                     std::vector<std::string> broken;
+                     for (const Violation& v : Checker(settings).check(t.evidence)) {
+                       if (v.rule == rule) broken.push_back(v.subject + ": " + v.what);
+                     }
+                     return broken;
+                   }});
+  }
+  return out;
+}
+
+std::string broken_rules(const std::vector<TimelineRule>& rules, const Timeline& timeline) {
+  std::string out;
+  for (const TimelineRule& rule : rules) {
+    for (const std::string& what : rule.broken(timeline)) out += rule.name + ": " + what + "\n";
+  }
+  return out;
+}
+
+}  // namespace nettlestand::standins
--- /dev/null
+++ b/standins/world/world.cpp
@@ -0,0 +1,471 @@
+#include "standins/world/world.h"
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cmath>
+#include <csignal>
+#include <cstdio>
+#include <stdexcept>
+#include <thread>
+
+namespace nettlestand::standins {
+namespace {
+
+constexpr auto kStep = std::chrono::milliseconds(2);
+constexpr double kTipMultiple = 4;    // of what a cold server can do; beyond it, it falls over
+constexpr double kTurn = 0.02;        // s; of a process that is starved
+constexpr double kLookEvery = 1;      // s between looks at who waited for a core
+constexpr double kMostWaited = 0.25;  // s of that, beyond which a run is void
+
+}  // namespace
+
+ProcessWorld::ProcessWorld(WorldSettings settings) : s_(std::move(settings)) {
+  if (s_.zones.empty() || s_.nodes == 0) throw std::invalid_argument("a world needs zones and nodes");
+  network_ = std::make_unique<Network>(thread_.loop(), s_.seed);
+  discovery_ = std::make_unique<ScriptedDiscovery>(thread_.loop(), &recorder_);
+  const auto add = [&](std::string name, Role role, const WorldZone& zone, std::size_t place) {
+    members_.push_back({std::move(name), role, zone.name, zone.region});
+    machines_.push_back(network_->machine());
+    place_.push_back(place);
+    return members_.size() - 1;
+  };
+  for (std::size_t i = 0; i < s_.nodes; ++i) {
+    node_members_.push_back(add("n" + std::to_string(i), Role::kNode, s_.zones[i % s_.zones.size()], i));
+  }
+  for (std::size_t i = 0; i < s_.servers; ++i) {
+    server_members_.push_back(add("s" + std::to_string(i), Role::kServer, s_.zones[i % s_.zones.size()], i));
+  }
+  for (std::size_t i = 0; i < s_.zones.size(); ++i) {
+    caller_members_.push_back(add("callers-" + s_.zones[i].name, Role::kCallers, s_.zones[i], i));
+  }
+  discovery_member_ = add("discovery", Role::kDiscovery, s_.zones[0], 0);
+  members_.back().zone = members_.back().region = "";  // of no zone: lost with none
+  for (std::size_t a = 0; a < members_.size(); ++a) {
+    for (std::size_t b = 0; b < members_.size(); ++b) {
+      if (a == b || members_[a].zone.empty() || members_[b].zone.empty()) continue;
+      WayFaults far;
+      if (members_[a].region != members_[b].region) {
+        far.delay = s_.between_regions;
+      } else if (members_[a].zone != members_[b].zone) {
+        far.delay = s_.between_zones;
+      }
+      if (far.delay > 0) network_->begin(machines_[a], machines_[b], far);
+    }
+  }
+  nodes_.resize(s_.nodes);
+  node_ports_.resize(s_.nodes);
+  logs_.resize(s_.nodes);
+  meant_.resize(s_.nodes);
+  seen_.resize(s_.nodes);
+}
+
+ProcessWorld::~ProcessWorld() {
+  loads_.clear();
+  for (auto& node : nodes_) {
+    if (node) node->resume();
+    node.reset();
+  }
+}
+
+bool ProcessWorld::until(const std::function<bool()>& holds, double patience) {
+  for (const double from = now(); !holds();) {
+    if (now() - from > patience) return false;
+    std::this_thread::sleep_for(kStep);
+  }
+  return true;
+}
+
+void ProcessWorld::start() {
+  const double from = began_ = now();
+  std::vector<Listing> listings;
+  for (std::size_t i = 0; i < s_.servers; ++i) {
+    const std::size_t member = server_members_[i];
+    ServerSettings settings = s_.server;
+    settings.name = members_[member].name;
+    settings.ip = network_->ip(machines_[member]);
+    settings.seed = s_.seed * 1000 + i;
+    settings.recorder = &recorder_;
+    servers_.push_back(std::make_unique<ScriptedServer>(thread_.loop(), settings));
+    Listing listing;
+    listing.host = settings.name;
+    listing.port = servers_.back()->port();
+    listing.site = members_[member].zone;
+    listing.block = static_cast<int>(i / 2);
+    listings.push_back(listing);
+  }
+  discovery_->dial_by([this](const std::string& node, const Listing& server) {
+    const std::size_t n = node_members_[std::stoul(node.substr(1))];
+    const std::size_t s = server_members_[std::stoul(server.host.substr(1))];
+    return network_->tcp(machines_[n], machines_[s], server.port).text();
+  });
+  discovery_->set(listings);
+  network_->look();
+  for (std::size_t i = 0; i < s_.nodes; ++i) start_node(i);
+  for (std::size_t i = 0; i < s_.nodes; ++i) node_ports_[i] = nodes_[i]->port();
+  for (const auto& node : nodes_) node->await_ready();
+  start_took_ = now() - from;
+}
+
+void ProcessWorld::start_node(std::size_t i) {
+  const std::size_t member = node_members_[i];
+  NodeConfig config = s_.node;
+  config.name = members_[member].name;
+  config.ip = network_->ip(machines_[member]);
+  config.listen = node_ports_[i];
+  const std::string at = network_->ip(machines_[discovery_member_]);
+  const Address discovery = network_->tcp(machines_[member], machines_[discovery_member_],
+                                          discovery_->endpoint(config.name, 0, at));
+  network_->look();
+  config.discovery_ip = discovery.ip;
+  config.discovery = discovery.port;
+  config.peers = static_cast<int>(s_.nodes);
+  config.position = static_cast<int>(i);
+  config.zones.clear();
+  for (const WorldZone& zone : s_.zones) config.zones.push_back(zone.name);
+  config.zone = static_cast<int>(i % s_.zones.size());
+  char seed[17];
+  std::snprintf(seed, sizeof seed, "%016llx",
+                static_cast<unsigned long long>(s_.seed * 7919 + i + lives_.size() * 104729));
+  config.seed = seed;
+  ProcessOptions options = s_.process;
+  if (s_.logs) options.arguments = {"run", "--log-format", "json"};
+  nodes_[i] = std::make_unique<NodeProcess>(s_.binary, config, options);
+  seen_[i] = {};
+}
+
+void ProcessWorld::end_node(std::size_t i, int signal) {
+  if (!nodes_[i]) return;
+  nodes_[i]->resume();
+  nodes_[i]->signal(signal);
+  nodes_[i]->exit_code();
+  lives_.push_back(nodes_[i]->life());
+  logs_[i] += nodes_[i]->log();
+  nodes_[i].reset();
+  network_->look();
+}
+
+CheckerSettings ProcessWorld::checked() const {
+  CheckerSettings out;
+  for (const NodeClass& c : s_.node.classes) {
+    CheckedClass to;
+    to.name = c.name;
+    to.effect = c.effect == "safe"    ? CheckedClass::Effect::kSafe
+                : c.effect == "keyed" ? CheckedClass::Effect::kKeyed
+                                      : CheckedClass::Effect::kUnsafe;
+    to.group = c.group == "all"    ? CheckedClass::Group::kAll
+               : c.group == "zone" ? CheckedClass::Group::kZone
+                                   : CheckedClass::Group::kCell;
+    to.window = c.window;
+    out.classes.push_back(to);
+  }
+  for (std::size_t i = 0; i < s_.servers; ++i) {
+    out.servers.push_back(
+        {"s" + std::to_string(i), members_[server_members_[i]].zone, static_cast<int>(i / 2)});
+  }
+  // The verdict must not hang on how busy the machine is.
+  out.late_slack = 2.5;
+  out.crossing = 0.5;
+  out.drain_slack = 0.5;
+  out.window_slack = 0.5;
+  return out;
+}
+
+void ProcessWorld::after(double seconds, std::function<void()> f) {
+  due_.emplace(now() + seconds, std::move(f));
+}
+
+void ProcessWorld::play(const std::string& script, double seconds) {
+  const std::vector<WorldFault> faults = read_world_script(script, members_);
+  const double from = now();
+  double traffic = 0;
+  for (const WorldZone& zone : s_.zones) traffic += zone.traffic;
+  loads_.clear();
+  for (std::size_t z = 0; z < s_.zones.size(); ++z) {
+    LoadSettings settings = s_.load;
+    settings.seconds = seconds;
+    settings.recorder = &recorder_;
+    settings.seed = s_.seed * 100 + z;
+    settings.patience = std::max(settings.patience, 2.7);
+    settings.rate *= s_.zones[z].traffic / traffic;
+    settings.targets.clear();
+    for (std::size_t i = 0; i < s_.nodes; ++i) {
+      if (s_.nodes >= s_.zones.size() && i % s_.zones.size() != z) continue;
+      const Address at =
+          network_->tcp(machines_[caller_members_[z]], machines_[node_members_[i]], node_ports_[i]);
+      settings.targets.push_back({"n" + std::to_string(i), at.port, at.ip});
+    }
+    loads_.push_back(std::make_unique<LoadClient>(thread_.loop(), settings));
+  }
+  network_->look();
+  due_.clear();
+  for (const WorldFault& fault : faults) {
+    due_.emplace(from + fault.at, [this, fault] { begin(fault); });
+  }
+  std::atomic<std::size_t> ended = 0;
+  for (const auto& load : loads_) load->start([&ended] { ++ended; });
+  next_look_ = now() + kLookEvery;
+  while (ended < loads_.size() || (!due_.empty() && due_.begin()->first < from + seconds + 1)) {
+    while (!due_.empty() && due_.begin()->first <= now()) {
+      const auto f = std::move(due_.begin()->second);
+      due_.erase(due_.begin());
+      f();
+    }
+    if (now() >= next_look_) watch_starvation();
+    std::this_thread::sleep_for(kStep);
+  }
+  // What was to end later ends now: the world is well again.
+  while (!due_.empty()) {
+    const auto f = std::move(due_.begin()->second);
+    due_.erase(due_.begin());
+    f();
+  }
+}
+
+void ProcessWorld::watch_starvation() {
+  next_look_ = now() + kLookEvery;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (!nodes_[i]) continue;
+    const ProcessTimes times = nodes_[i]->times();
+    const double waited = times.waited - seen_[i].waited;
+    seen_[i] = times;
+    if (meant_[i] || waited <= starvation_.most) continue;
+    starvation_.most = waited;
+    starvation_.whose = "n" + std::to_string(i);
+    starvation_.is_void = waited > kMostWaited;
+  }
+}
+
+void ProcessWorld::note(const WorldFault& fault, const char* kind) {
+  std::string what = fault.verb == "server" ? to_text(fault.server) : fault.verb;
+  for (const double figure : fault.figures) what += " " + std::to_string(figure).substr(0, 6);
+  std::string who = members_[fault.who].name;
+  if (fault.to != WorldFault::kNobody) who += " -> " + members_[fault.to].name;
+  happened_.push_back({now(), who, kind, what, {{"line", std::to_string(fault.line)}}});
+}
+
+void ProcessWorld::begin(const WorldFault& fault) {
+  note(fault, "fault");
+  if (fault.to != WorldFault::kNobody) return begin_way(fault);
+  switch (members_[fault.who].role) {
+    case Role::kNode:
+      return begin_node(fault);
+    case Role::kServer:
+      return begin_server(fault);
+    case Role::kDiscovery:
+      return begin_discovery(fault);
+    case Role::kCallers:
+      return;
+  }
+}
+
+void ProcessWorld::begin_node(const WorldFault& fault) {
+  const std::size_t i = place_[fault.who];
+  const auto end = [this, fault](std::function<void()> f) {
+    if (fault.lasts == kForever) return;
+    after(fault.lasts, [this, fault, f = std::move(f)] {
+      note(fault, "fault-end");
+      f();
+    });
+  };
+  if (fault.verb == "pause") {
+    if (!nodes_[i]) return;
+    meant_[i] = true;
+    nodes_[i]->pause();
+    end([this, i] {
+      if (nodes_[i]) nodes_[i]->resume();
+      meant_[i] = false;
+    });
+  } else if (fault.verb == "starve") {
+    meant_[i] = true;
+    const double until = now() + fault.lasts, share = fault.figures[0];
+    auto turn = std::make_shared<std::function<void()>>();
+    *turn = [this, i, until, share, turn] {
+      if (!nodes_[i]) return;
+      if (now() >= until) {
+        meant_[i] = false;
+        return;
+      }
+      nodes_[i]->pause();
+      after(kTurn * (1 - share), [this, i, share, turn] {
+        if (nodes_[i]) nodes_[i]->resume();
+        after(kTurn * share, *turn);
+      });
+    };
+    (*turn)();
+  } else if (fault.verb == "kill" || fault.verb == "restart") {
+    end_node(i, SIGKILL);
+    if (fault.verb == "restart") {
+      start_node(i);
+    } else {
+      end([this, i] { start_node(i); });
+    }
+  } else if (fault.verb == "term") {
+    if (!nodes_[i]) return;
+    nodes_[i]->signal(SIGTERM);
+    // Its end is awaited in looks, so that the script goes on meanwhile.
+    auto look = std::make_shared<std::function<void()>>();
+    const double back_at = now() + fault.lasts;
+    *look = [this, i, look, back_at, fault] {
+      if (nodes_[i] && nodes_[i]->running()) return after(0.02, *look);
+      end_node(i, SIGKILL);
+      if (fault.lasts != kForever) after(std::max(0.0, back_at - now()), [this, i] { start_node(i); });
+    };
+    after(0.02, *look);
+  }
+}
+
+void ProcessWorld::begin_server(const WorldFault& fault) {
+  ScriptedServer& server = *servers_[place_[fault.who]];
+  if (fault.verb == "server") {
+    Fault one = fault.server;
+    one.at = 0;
+    server.begin(one);
+    network_->look();
+    if (fault.lasts != kForever) after(fault.lasts, [this, fault] { note(fault, "fault-end"); });
+    return;
+  }
+  const auto list = [this, name = members_[fault.who].name, &server](const std::string& health, bool cold) {
+    for (Listing listing : discovery_->list()) {
+      if (listing.host != name) continue;
+      listing.health = health;
+      if (cold) listing.born_ms = unix_ms();
+      return discovery_->set(listing);
+    }
+    Listing listing;
+    listing.host = name;
+    listing.port = server.port();
+    for (std::size_t m : server_members_) {
+      if (members_[m].name == name) {
+        listing.site = members_[m].zone;
+        listing.block = static_cast<int>(place_[m] / 2);
+      }
+    }
+    listing.health = health;
+    if (cold) listing.born_ms = unix_ms();
+    discovery_->set(listing);
+  };
+  if (fault.verb == "back") {
+    server.well();
+    if (s_.node.ramp_time > 0) {
+      Fault cold;
+      cold.verb = Verb::kCold;
+      cold.a = s_.node.start_capacity;
+      cold.b = s_.node.ramp_time;
+      cold.c = kTipMultiple;
+      server.begin(cold);
+    }
+    network_->look();
+    return list("active", true);
+  }
+  list(fault.verb == "leaving" ? "leaving" : "left", false);
+  if (fault.lasts != kForever) {
+    WorldFault back = fault;
+    back.verb = "back";
+    back.lasts = kForever;
+    after(fault.lasts, [this, back] { begin(back); });
+  }
+}
+
+void ProcessWorld::begin_discovery(const WorldFault& fault) {
+  using Mode = ScriptedDiscovery::Mode;
+  if (fault.verb == "lag") {
+    discovery_->lag(fault.figures[0]);
+  } else {
+    discovery_->mode(fault.verb == "refuse"        ? Mode::kRefuse
+                     : fault.verb == "unavailable" ? Mode::kUnavailable
+                                                   : Mode::kSilent);
+  }
+  network_->look();
+  if (fault.lasts == kForever) return;
+  after(fault.lasts, [this, fault] {
+    note(fault, "fault-end");
+    if (fault.verb == "lag") {
+      discovery_->lag(0);
+    } else {
+      discovery_->mode(Mode::kUp);
+    }
+    network_->look();
+  });
+}
+
+void ProcessWorld::begin_way(const WorldFault& fault) {
+  const int from = machines_[fault.who], to = machines_[fault.to];
+  if (fault.verb == "reset") return network_->reset(from, to);
+  if (fault.verb == "half-open") return network_->half_open(from, to);
+  WayFaults f;
+  const auto figure = [&](std::size_t i) { return i < fault.figures.size() ? fault.figures[i] : 0; };
+  if (fault.verb == "cut") f.cut = true;
+  if (fault.verb == "loss") {
+    f.loss = figure(0);
+    f.burst = std::max(1.0, figure(1));
+  }
+  if (fault.verb == "delay") {
+    f.delay = figure(0);
+    f.jitter = figure(1);
+  }
+  if (fault.verb == "reorder") f.reorder = figure(0);
+  if (fault.verb == "duplicate") f.duplicate = figure(0);
+  if (fault.verb == "corrupt") f.corrupt = figure(0);
+  if (fault.verb == "band") f.bandwidth = figure(0);
+  const std::uint64_t id = network_->begin(from, to, f);
+  if (fault.lasts == kForever) return;
+  after(fault.lasts, [this, id, fault] {
+    note(fault, "fault-end");
+    network_->end(id);
+  });
+}
+
+Timeline ProcessWorld::finish(bool gently) {
+  loads_.clear();
+  if (gently) {
+    for (const auto& node : nodes_) {
+      if (node) node->signal(SIGTERM);
+    }
+  }
+  Timeline out;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (gently && nodes_[i]) nodes_[i]->exit_code();
+    end_node(i, SIGKILL);
+  }
+  out.began = began_;
+  out.ended = now();
+  out.members = members_;
+  out.evidence = {recorder_.calls(), recorder_.attempts(), recorder_.told(), recorder_.fallen(), lives_};
+  // When a node sent it, and not when a way that was cut let it through.
+  std::map<int, std::vector<Network::Held>> held;  // by port
+  for (const Network::Held& one : network_->held()) held[one.source_port].push_back(one);
+  const std::vector<ConnectionRecord> connections = recorder_.connections();
+  for (AttemptRecord& attempt : out.evidence.attempts) {
+    const auto it = held.find(connections[attempt.connection].peer_port);
+    if (it == held.end()) continue;
+    for (const Network::Held& one : it->second) {
+      if (std::abs(one.delivered - attempt.first_byte_at) < 0.1) {
+        attempt.first_byte_at = std::min(attempt.first_byte_at, one.sent);
+      }
+      if (attempt.last_byte_at > 0 && std::abs(one.delivered - attempt.last_byte_at) < 0.1) {
+        attempt.last_byte_at = std::max(attempt.first_byte_at, std::min(attempt.last_byte_at, one.sent));
+      }
+    }
+  }
+  out.entries = happened_;
+  for (std::size_t i = 0; i < logs_.size(); ++i) add_log(out, "n" + std::to_string(i), logs_[i]);
+  add_records(out);
+  sort(out);
+  return out;
+}
+
+std::string play_unstarved(int tries, bool& is_void, const std::function<std::string(Starvation&)>& play) {
+  std::string complaint;
+  for (int i = 0; i < tries; ++i) {
+    Starvation starvation;
+    complaint = play(starvation);
+    is_void = starvation.is_void;
+    if (!is_void) return complaint;
+    std::fprintf(stderr, "void: %s waited %.2f s of a second for a core\n", starvation.whose.c_str(),
+                 starvation.most);
+  }
+  return complaint;
+}
+
+}  // namespace nettlestand::standins
--- /dev/null
+++ b/standins/world/world.h
@@ -0,0 +1,118 @@
+// A world of processes: nodes, each a process of the program, with their servers, discovery and callers, in
+// zones and regions; every way between two machines leads through links. Scripts (../SCRIPT.md) put faults on
+// all of it, and what everybody saw and said comes out as one timeline.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "standins/callers/load.h"
+#include "standins/discovery/discovery.h"
+#include "standins/links/network.h"
+#include "standins/servers/server.h"
+#include "standins/world/node_process.h"
+#include "standins/world/timeline.h"
+
+namespace nettlestand::standins {
+
+struct WorldZone {
+  std::string name = "a", region = "r";
+  double traffic = 1;  // its part of the calls, in proportion
+};
+
+struct WorldSettings {
+  std::string binary;  // the node's file
+  std::uint64_t seed = 1;
+  std::vector<WorldZone> zones = {WorldZone{}};
+  double between_zones = 0, between_regions = 0;  // s, one way
+  std::size_t nodes = 3, servers = 3;             // dealt out among the zones in turn
+  ServerSettings server;                          // names, addresses and seeds are the world's
+  NodeConfig node;                                // likewise; tells classes, tenants, limits
+  LoadSettings load;                              // rate: over all zones
+  ProcessOptions process;
+  bool logs = true;  // nodes log in JSON, for the timeline
+};
+
+// What a world took of the machine. Where nodes were kept waiting for a core for longer than they may,
+// nothing that was timed in the run means anything: it is void, and played again.
+struct Starvation {
+  double most = 0;    // s in one second that a process waited for a core, with no script that wanted it so
+  std::string whose;  // which
+  bool is_void = false;
+};
+
+// Not for two threads at once.
+class ProcessWorld {
+ public:
+  // Throws std::exception where it can't be set up.
+  explicit ProcessWorld(WorldSettings settings);
+  ~ProcessWorld();
+  ProcessWorld(const ProcessWorld&) = delete;
+  ProcessWorld& operator=(const ProcessWorld&) = delete;
+
+  // Servers, then discovery, then nodes; returns once all of them are ready.
+  void start();
+  // Calls for so many seconds with a script beside them; returns once all calls have ended. Throws
+  // ScriptError before anything begins.
+  void play(const std::string& script, double seconds);
+  // Ends the nodes, with SIGTERM first where `gently`, and gathers what all of them saw.
+  Timeline finish(bool gently = false);
+
+  const std::vector<Member>& members() const { return members_; }
+  Network& network() { return *network_; }
+  ScriptedDiscovery& discovery() { return *discovery_; }
+  ScriptedServer& server(std::size_t i) { return *servers_[i]; }
+  NodeProcess& node(std::size_t i) { return *nodes_[i]; }
+  int machine(std::size_t member) const { return machines_[member]; }
+  const Starvation& starvation() const { return starvation_; }
+  double seconds_to_start() const { return start_took_; }
+  // Waits, in a loop of looks, until it holds; false after `patience` s.
+  static bool until(const std::function<bool()>& holds, double patience = 20);
+  // For the checker: classes and servers as this world has them.
+  CheckerSettings checked() const;
+
+ private:
+  void begin(const WorldFault& fault);
+  void begin_node(const WorldFault& fault);
+  void begin_server(const WorldFault& fault);
+  void begin_discovery(const WorldFault& fault);
+  void begin_way(const WorldFault& fault);
+  void start_node(std::size_t i);
+  void end_node(std::size_t i, int signal);
+  void after(double seconds, std::function<void()> f);
+  void note(const WorldFault& fault, const char* kind);
+  void watch_starvation();
+
+  WorldSettings s_;
+  LoopThread thread_;
+  std::unique_ptr<Network> network_;
+  Recorder recorder_;
+  std::unique_ptr<ScriptedDiscovery> discovery_;
+  std::vector<Member> members_;
+  std::vector<int> machines_;       // of the network, by member
+  std::vector<std::size_t> place_;  // among the nodes or servers, by member
+  std::vector<std::size_t> node_members_, server_members_, caller_members_;
+  std::size_t discovery_member_ = 0;
+  std::vector<std::unique_ptr<ScriptedServer>> servers_;
+  std::vector<std::unique_ptr<NodeProcess>> nodes_;
+  std::vector<int> node_ports_;
+  std::vector<std::string> logs_;  // of node processes that are gone, by node
+  std::vector<bool> meant_;        // paused or starved on purpose, by node
+  std::vector<NodeLife> lives_;
+  std::vector<std::unique_ptr<LoadClient>> loads_;
+  std::vector<TimelineEntry> happened_;
+  std::vector<ProcessTimes> seen_;
+  std::multimap<double, std::function<void()>> due_;  // what this thread is to do, and when
+  Starvation starvation_;
+  double began_ = 0, start_took_ = 0, next_look_ = 0;
+};
+
+// Plays a world until a run is not void, `tries` times at most, and says so on standard error. Returns what
+// `play` made of the last run; `is_void` tells of that one. A run that complains is played again only where
+// it was void.
+std::string play_unstarved(int tries, bool& is_void, const std::function<std::string(Starvation&)>& play);
+
+}  // namespace nettlestand::standins
--- a/tests/lab/links_test.cpp
+++ b/tests/lab/links_test.cpp
@@ -84,6 +84,8 @@
   // A connection and its far end.
   std::pair<Fd, Fd> pair() {
     Fd near = connect_to(at);
+    const int buffer = 256 * 1024;  // the kernel would let it grow to megabytes
+    setsockopt(near.get(), SOL_SOCKET, SO_SNDBUF, &buffer, sizeof buffer);
     EXPECT_EQ(connected(near), 0);
     Fd far = accept_from(listener);
     EXPECT_TRUE(far);
@@ -191,7 +193,8 @@
     near.close();  // all of it: what is sent there now is answered with a reset
     EXPECT_EQ(read_some(far), "FIN");
     put(far, "to nobody");
-    EXPECT_TRUE(until([&] { return read_some(far) == "RST"; }));
+    EXPECT_TRUE(until([&] { return (wait_for(far, POLLIN) & POLLERR) != 0; }))
+        << "as a direct connection tells it";
   }
 }
 
--- /dev/null
+++ b/tests/lab/world_test.cpp
@@ -0,0 +1,388 @@
+// Worlds of processes: scripts read and carried out, process faults, many nodes under seeded scripts, planted
+// faults.
+#include "standins/world/world.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+namespace nettlestand::standins {
+namespace {
+
+std::string binary() {
+  const char* other = std::getenv("NETTLESTAND_NODE");
+  return other != nullptr ? other : NODE;
+}
+
+WorldSettings settings(std::size_t nodes, std::size_t servers, std::size_t zones = 1) {
+  WorldSettings out;
+  out.binary = binary();
+  out.nodes = nodes;
+  out.servers = servers;
+  out.zones.clear();
+  for (std::size_t i = 0; i < zones; ++i) {
+    out.zones.push_back({std::string(1, static_cast<char>('a' + i)), i < 2 ? "west" : "east", 1});
+  }
+  out.server.cores = 4;
+  out.server.service = 0.004;
+  out.server.exponential = true;
+  out.node.classes = {{"safe", "safe", "all", 0, 0.5, 1, 0.5},
+                      {"keyed", "keyed", "cell", 4, 0.5, 1, 0.5},
+                      {"unsafe", "unsafe", "all", 0, 0.5, 1, 0.5}};
+  out.node.tenants = {{"acme", 100000}};
+  out.load.classes = {{"safe", CallEffect::kSafe, 1, 1, 0, 0},
+                      {"keyed", CallEffect::kKeyed, 1, 1, 0, 200},
+                      {"unsafe", CallEffect::kUnsafe, 1, 1, 0, 200}};
+  out.load.rate = 60.0 * static_cast<double>(nodes);
+  return out;
+}
+
+// What is wrong with a run: rules that are broken, with the timeline; empty where nothing is.
+std::string complaints(ProcessWorld& world, const std::string& script, double seconds, Starvation& starvation,
+                       Timeline* out = nullptr) {
+  world.start();
+  world.play(script, seconds);
+  Timeline timeline = world.finish();
+  starvation = world.starvation();
+  const std::string broken = broken_rules(four_rules(world.checked()), timeline);
+  std::string text;
+  if (!broken.empty()) text = broken.substr(0, 4000) + "\n" + script + "\n" + timeline.text().substr(0, 6000);
+  if (out != nullptr) *out = std::move(timeline);
+  return text;
+}
+
+std::size_t served(const Timeline& t, const std::function<bool(const CallRecord&)>& of = {}) {
+  return static_cast<std::size_t>(
+      std::count_if(t.evidence.calls.begin(), t.evidence.calls.end(),
+                    [&](const CallRecord& c) { return c.status == 200 && (!of || of(c)); }));
+}
+
+const TimelineEntry* find(const Timeline& t, const std::string& who, const std::string& kind,
+                          const std::string& what) {
+  for (const TimelineEntry& e : t.entries) {
+    if (e.who == who && e.kind == kind && e.what.find(what) != std::string::npos) return &e;
+  }
+  return nullptr;
+}
+
+// ------------------------------------------------------------ the script
+
+const std::vector<Member> kCast = {
+    {"n0", Role::kNode, "a", "west"},           {"n1", Role::kNode, "b", "west"},
+    {"s0", Role::kServer, "a", "west"},         {"s1", Role::kServer, "b", "west"},
+    {"callers-a", Role::kCallers, "a", "west"}, {"discovery", Role::kDiscovery, "", ""}};
+
+std::string said(const std::string& script) {
+  std::string out;
+  for (const WorldFault& f : read_world_script(script, kCast)) {
+    out += kCast[f.who].name + (f.to == WorldFault::kNobody ? "" : ">" + kCast[f.to].name) + " ";
+  }
+  return out;
+}
+
+TEST(WorldScript, NamesWhoIsHit) {
+  EXPECT_EQ(said("n0,n1: pause"), "n0 n1 ");
+  EXPECT_EQ(said("nodes of zone b: kill"), "n1 ");
+  EXPECT_EQ(said("n0 -> s1: cut"), "n0>s1 ");
+  EXPECT_EQ(said("n0 <-> s1: cut"), "n0>s1 s1>n0 ");
+  EXPECT_EQ(said("nodes <-> nodes: cut"), "n0>n1 n1>n0 ");
+  EXPECT_EQ(said("zone b -> rest: cut"),
+            "n1>n0 n1>s0 n1>callers-a n1>discovery s1>n0 s1>s0 s1>callers-a s1>discovery ");
+  EXPECT_EQ(said("rest -> discovery: cut"),
+            "n0>discovery n1>discovery s0>discovery s1>discovery callers-a>discovery ");
+  EXPECT_EQ(said("n0 <-> s0: reset"), "n0>s0 ") << "both ends at once";
+  EXPECT_EQ(said("at 2 s0: refuse\nat 1 discovery: silent for 3 # later\n\n"), "discovery s0 ") << "by time";
+  const auto one = read_world_script("at 1.5 n0 -> n1: loss 0.25 burst 4 for 2", kCast).at(0);
+  EXPECT_DOUBLE_EQ(one.at, 1.5);
+  EXPECT_DOUBLE_EQ(one.lasts, 2);
+  EXPECT_EQ(one.figures, (std::vector<double>{0.25, 4}));
+  const auto server = read_world_script("s0: chance 0.1 error for 3", kCast).at(0);
+  EXPECT_EQ(server.server.verb, Verb::kError);
+  EXPECT_DOUBLE_EQ(server.lasts, 3);
+}
+
+TEST(WorldScript, SaysWhatIsWrongAndWhere) {
+  const std::map<std::string, std::string> kBad = {
+      {"\nn0 pause", "line 2: 'WHO: COMMAND' is wanted"},
+      {"n7: pause", "line 1: nobody is called 'n7'"},
+      {"n0: refuse", "line 1: nothing here can 'refuse'"},
+      {"n0: starve 2", "line 1: a part is 0 to 1"},
+      {"n0: starve", "line 1: 'starve' takes 1 to 1 figures"},
+      {"n0 -> s0: loss x", "line 1: 'x' is no number"},
+      {"n0 -> s0: cut now", "line 1: 'now' is no number"},
+      {"n0 ->: cut", "line 1: '' is nobody"},
+      {"nodes of zone c: kill", "line 1: 'nodes of zone c' is nobody"},
+      {"callers-a: pause", "line 1: nothing happens to callers alone: name a way"},
+      {"at x n0: pause", "line 1: 'x' is no number"},
+      {"s0: at 3 refuse", "line 1: the time stands before who is hit"},
+      {"s0: dance", "line 1: "},
+      {"n0:", "line 1: no command"},
+      {"n0: pause for -1", "line 1: -1 is out of range"}};
+  for (const auto& [script, wanted] : kBad) {
+    try {
+      read_world_script(script, kCast);
+      ADD_FAILURE() << script;
+    } catch (const ScriptError& problem) {
+      EXPECT_EQ(std::string(problem.what()).substr(0, wanted.size()), wanted);
+    }
+  }
+}
+
+// ------------------------------------------------------------ what happens to processes
+
+TEST(World, ProcessesArePausedStarvedKilledAndStartedAgain) {
+  ProcessWorld w(settings(2, 3));
+  w.start();
+  NodeProcess& node = w.node(0);
+  node.pause();
+  const ProcessTimes before = node.times();
+  EXPECT_EQ(node.health(), 0) << "its kernel takes the connection, and it does not answer";
+  EXPECT_DOUBLE_EQ(node.times().ran, before.ran) << "a process that stands does not run";
+  node.resume();
+  EXPECT_TRUE(ProcessWorld::until([&] { return node.health() == 200; }));
+  const pid_t first = node.pid();
+  w.play("at 0.2 n0: kill for 0.3\nat 0.3 n1: starve 0.3 for 0.5\nat 1.4 n1: restart", 1.8);
+  EXPECT_NE(w.node(0).pid(), first);
+  EXPECT_TRUE(ProcessWorld::until([&] { return w.node(0).health() == 200 && w.node(1).health() == 200; }))
+      << "under its address again";
+  const Timeline t = w.finish();
+  EXPECT_EQ(broken_rules(four_rules(w.checked()), t), "") << t.text();
+  ASSERT_NE(find(t, "n0", "life", "killed"), nullptr);
+  EXPECT_NE(find(t, "n0", "fault", "kill"), nullptr);
+  EXPECT_NE(find(t, "n1", "fault", "starve"), nullptr);
+  EXPECT_NE(find(t, "n0", "log", "node.listening"), nullptr) << "logs stand in the timeline";
+  EXPECT_TRUE(std::is_sorted(t.entries.begin(), t.entries.end(),
+                             [](const TimelineEntry& a, const TimelineEntry& b) { return a.at < b.at; }));
+  EXPECT_GT(served(t), 20U);
+}
+
+TEST(World, APauseAcrossDeadlinesLosesNothingThatCanBeAnswered) {
+  bool is_void = false;
+  EXPECT_EQ(play_unstarved(3, is_void,
+                           [](Starvation& starvation) {
+                             WorldSettings s = settings(2, 2);
+                             // What a node is kept from answering while it stands can't be its fault.
+                             ProcessWorld w(s);
+                             w.start();
+                             w.play("at 0.5 n0: pause for 0.4", 1.5);
+                             const Timeline t = w.finish();
+                             starvation = w.starvation();
+                             return broken_rules(four_rules(w.checked()), t);
+                           }),
+            "");
+  EXPECT_FALSE(is_void);
+}
+
+TEST(World, ServersDrainLeaveAndComeBackAndDiscoveryGoesDown) {
+  WorldSettings s = settings(3, 4);
+  s.node.ramp_time = 2;
+  s.node.start_capacity = 0.3;
+  ProcessWorld w(s);
+  w.start();
+  w.play("at 0.2 s0: leaving\nat 0.8 s0: gone\nat 1 discovery: refuse for 0.3\nat 1.6 s0: back", 3);
+  const Timeline t = w.finish(true);
+  EXPECT_EQ(broken_rules(four_rules(w.checked()), t), "") << t.text();
+  EXPECT_NE(find(t, "n1", "told", "s0 leaving"), nullptr);
+  EXPECT_NE(find(t, "n1", "log", "discovery.lost"), nullptr);
+  EXPECT_NE(find(t, "n1", "log", "discovery.heard"), nullptr);
+  EXPECT_NE(find(t, "n2", "log", "node.drained"), nullptr) << "SIGTERM was obeyed";
+  double back = 0;
+  for (const TimelineEntry& e : t.entries) {
+    if (e.kind == "fault" && e.what == "back") back = e.at;
+  }
+  EXPECT_GT(std::count_if(t.evidence.attempts.begin(), t.evidence.attempts.end(),
+                          [&](const AttemptRecord& a) { return a.server == "s0" && a.first_byte_at > back; }),
+            0)
+      << "it serves again";
+}
+
+TEST(World, ZonesThatAreCutOffServeOn) {
+  WorldSettings s = settings(6, 6, 3);
+  s.between_zones = 0.001;
+  s.between_regions = 0.004;
+  bool is_void = false;
+  Timeline t;
+  EXPECT_EQ(play_unstarved(3, is_void,
+                           [&](Starvation& starvation) {
+                             ProcessWorld w(s);
+                             return complaints(w, "at 0.8 zone c <-> rest: cut for 1", 2.6, starvation, &t);
+                           }),
+            "");
+  for (const std::string zone : {"a", "c"}) {
+    EXPECT_GT(
+        served(t, [&](const CallRecord& c) { return t.members[std::stoul(c.node.substr(1))].zone == zone; }),
+        50U)
+        << zone;
+  }
+}
+
+TEST(World, NothingIsLeftBehindByATestThatCrashes) {
+  GTEST_FLAG_SET(death_test_style, "threadsafe");
+  // The child is a whole world that dies without a word; its nodes must go with it.
+  const std::string path = testing::TempDir() + "nettlestand_world_that_crashes";
+  EXPECT_EXIT(
+      {
+        auto* w = new ProcessWorld(settings(2, 1));
+        w->start();
+        std::ofstream(path) << w->node(0).pid() << " " << w->node(1).pid() << std::endl;
+        ::kill(getpid(), SIGKILL);
+      },
+      testing::KilledBySignal(SIGKILL), "");
+  std::ifstream in(path);
+  pid_t one = 0, two = 0;
+  in >> one >> two;
+  ASSERT_GT(one, 0);
+  const auto gone = [](pid_t pid) {
+    std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+    std::string line;
+    return !std::getline(stat, line) || line.find(") Z ") != std::string::npos;
+  };
+  EXPECT_TRUE(ProcessWorld::until([&] { return gone(one) && gone(two); }));
+  std::remove(path.c_str());
+}
+
+// ------------------------------------------------------------ many worlds under seeded scripts
+
+std::string random_script(std::uint64_t seed, std::size_t nodes, std::size_t servers) {
+  std::mt19937_64 random(seed);
+  const auto pick = [&](std::size_t n) { return std::to_string(random() % n); };
+  std::ostringstream out;
+  for (int i = 0; i < 3; ++i) {
+    const double at = 0.1 * static_cast<double>(1 + random() % 10),
+                 lasts = 0.1 * static_cast<double>(2 + random() % 6);
+    out << "at " << at << " ";
+    const std::string n = "n" + pick(nodes), s = "s" + pick(servers);
+    switch (random() % 14) {
+      case 0:
+        out << n << " -> " << s << ": cut";
+        break;
+      case 1:
+        out << s << " -> " << n << ": cut";
+        break;
+      case 2:
+        out << "zone a <-> rest: cut";
+        break;
+      case 3:
+        out << n << " <-> servers: delay 0.01 jitter 0.02";
+        break;
+      case 4:
+        out << "nodes <-> " << s << ": loss 0.1 burst 3";
+        break;
+      case 5:
+        out << s << ": refuse";
+        break;
+      case 6:
+        out << s << ": reset-after-request";
+        break;
+      case 7:
+        out << s << ": slower 8";
+        break;
+      case 8:
+        out << s << ": leaving";
+        break;
+      case 9:
+        out << "discovery: " << (random() % 2 ? "refuse" : "silent");
+        break;
+      case 10:
+        out << n << ": starve 0.5";
+        break;
+      case 11:
+        out << n << ": kill";
+        break;
+      case 12:
+        out << n << " <-> " << s << ": reset";
+        break;
+      case 13:
+        out << n << " <-> " << s << ": band 200000";
+        break;
+    }
+    if (out.str().ends_with("reset")) {
+      out << "\n";
+    } else {
+      out << " for " << lasts << "\n";
+    }
+  }
+  return out.str();
+}
+
+class Scripts : public testing::TestWithParam<int> {};
+
+TEST_P(Scripts, BreakNoRule) {
+  const int seed = GetParam();
+  const std::size_t nodes = seed % 5 == 0 ? 12 : 3, servers = seed % 5 == 0 ? 8 : 4;
+  WorldSettings s = settings(nodes, servers, seed % 2 + 1);
+  s.seed = static_cast<std::uint64_t>(seed);
+  s.load.rate = seed % 5 == 0 ? 240 : 150;
+  bool is_void = false;
+  Timeline t;
+  EXPECT_EQ(play_unstarved(3, is_void,
+                           [&](Starvation& starvation) {
+                             ProcessWorld w(s);
+                             return complaints(w, random_script(s.seed, nodes, servers), 1.6, starvation, &t);
+                           }),
+            "");
+  EXPECT_GT(served(t), 40U) << "it served all the while";
+}
+INSTANTIATE_TEST_SUITE_P(World, Scripts, testing::Range(1, 51));
+
+// ------------------------------------------------------------ planted faults
+
+// A node with a fault built in must turn its rule red, and no other world may hide it.
+struct Planted {
+  const char* fault;
+  const char* rule;
+  const char* script;
+};
+
+class PlantedFault : public testing::TestWithParam<Planted> {};
+
+TEST_P(PlantedFault, IsCaughtByItsRule) {
+  WorldSettings s = settings(3, 3);
+  s.binary = std::string(PLANTED) + GetParam().fault;
+  s.load.rate = 900;
+  s.node.ramp_time = 30;
+  s.node.start_capacity = 0.01;
+  s.node.over_share_worth = 1;
+  Starvation ignored;
+  Timeline t;
+  ProcessWorld w(s);
+  const std::string found = complaints(w, GetParam().script, 3, ignored, &t);
+  std::map<int, int> sent;  // to s0, by tenth of a second
+  for (const AttemptRecord& a : t.evidence.attempts) {
+    if (a.server == "s0") ++sent[static_cast<int>((a.first_byte_at - t.began) * 10)];
+  }
+  std::string text;
+  for (const auto& [at, count] : sent) text += std::to_string(at) + ":" + std::to_string(count) + " ";
+  EXPECT_NE(found.find(std::string(GetParam().rule) + ": "), std::string::npos)
+      << found << t.text() << "attempts at s0 by tenth of a second: " << text;
+}
+
+TEST_P(PlantedFault, IsNotSeenInTheProgramWithoutIt) {
+  WorldSettings s = settings(3, 3);
+  s.load.rate = 900;
+  s.node.ramp_time = 30;
+  s.node.start_capacity = 0.01;
+  bool is_void = false;
+  EXPECT_EQ(play_unstarved(3, is_void,
+                           [&](Starvation& starvation) {
+                             ProcessWorld w(s);
+                             return complaints(w, GetParam().script, 3, starvation);
+                           }),
+            "");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    World, PlantedFault,
+    testing::Values(Planted{"lost", "no request is lost", ""},
+                    Planted{"twice", "no effect happens twice",
+                            "at 0.5 servers: chance 0.3 reset-after-request for 1.5"},
+                    Planted{"drain", "drains are kept", "at 0.5 s0: leaving"},
+                    Planted{"cold", "a cold server is not pushed over", "at 0.3 servers: gone\nat 1 servers: back"}),
+    [](const testing::TestParamInfo<Planted>& info) { return std::string(info.param.fault); });
+
+}  // namespace
+}  // namespace nettlestand::standins
