--- a/emulator/fleet.cpp
+++ b/emulator/fleet.cpp
@@ -8,6 +8,7 @@
 #include <queue>
 #include <random>
 #include <unordered_map>
+#include <utility>
 
 namespace nettlestand::fleet {
 namespace {
@@ -15,8 +16,20 @@
 namespace qu = quinceusher;
 
 constexpr double kNever = std::numeric_limits<double>::infinity();
-
-enum class What : std::uint8_t { kArrival, kFinish, kTimeOut, kEnd, kTimer, kDeadline, kList };
+constexpr std::uint64_t kAny = std::numeric_limits<std::uint64_t>::max();
+
+enum class What : std::uint8_t {
+  kArrival,
+  kFinish,
+  kTimeOut,
+  kEnd,
+  kTimer,
+  kDeadline,
+  kList,
+  kAgain,
+  kCrash,
+  kCopy
+};
 
 struct Due {
   double at;
@@ -35,11 +48,26 @@
 
 struct Open {
   std::uint32_t copy = 0, tenant = 0;
+  std::size_t ask = 0;
   double arrived = 0;
   bool answered = false, counted = false;
   std::vector<Attempt> attempts;
 };
 
+// A client's request, over all its tries.
+struct Ask {
+  double born = 0;
+  std::uint32_t tenant = 0, copy = 0;
+  int tries = 0;
+};
+
+struct CopyState {
+  std::vector<qu::Event> waiting;  // while it stands
+  bool paused = false, dead = false;
+  double died = 0;
+  std::uint64_t life = 0;
+};
+
 struct Job {
   std::uint64_t request = 0;
   std::uint32_t attempt = 0;
@@ -49,9 +77,10 @@
   double speed = 1;
   double born = 0;  // 0: warm
   int busy = 0;
+  std::uint64_t life = 0;  // 16 bits of it count
   std::deque<Job> queue;
   int held = 0;  // attempts out, for the policies that see all
-  bool drained = false, fallen = false;
+  bool drained = false, fallen = false, gone = false;
   std::deque<std::pair<double, double>> pushed;  // when, how much work; of a cold server
   double pushed_sum = 0;
   std::uint64_t connects = 0;
@@ -71,6 +100,13 @@
     result_.sent_by_second.resize(spec.servers);
     if (spec.keep_times) result_.sent_at.resize(spec.servers);
     for (const Tenant& tenant : spec.tenants) offered_ += tenant.offered;
+    result_.requests.resize(result_.seconds.size(), std::vector<Asked>(spec.zones));
+    states_.resize(spec.copies);
+    double sum = 0;
+    std::normal_distribution<double> normal;
+    for (std::size_t i = 0; i < spec.copies && spec.uneven > 0; ++i) {
+      weights_.push_back(sum += std::exp(spec.uneven * normal(random_)));
+    }
   }
 
   Result play() {
@@ -78,6 +114,13 @@
     if (spec_.policy == Policy::kModule) start_copies();
     for (std::size_t i = 0; i < spec_.changes.size(); ++i)
       at(kStart + spec_.changes[i].at, What::kList, i, 0);
+    for (std::size_t i = 0; i < spec_.faults.size(); ++i) {
+      if (spec_.faults[i].kind == FaultKind::kCrash) at(kStart + spec_.faults[i].from, What::kCrash, i, 0);
+    }
+    for (std::size_t i = 0; i < spec_.copy_faults.size(); ++i) {
+      at(kStart + spec_.copy_faults[i].from, What::kCopy, i, 0);
+      at(kStart + spec_.copy_faults[i].until, What::kCopy, i, 1);
+    }
     next_arrival();
     while (!due_.empty()) {
       const Due next = due_.top();
@@ -92,7 +135,7 @@
  private:
   static constexpr double kStart = 1000;  // the module's clock may start anywhere
 
-  void start_copies() {
+  qu::Settings settings() const {
     qu::Settings s;
     s.copy_count = static_cast<int>(spec_.copies);
     s.tier = spec_.tier;
@@ -111,23 +154,39 @@
     s.max_retry_after = 2;
     s.start_capacity = spec_.start_capacity;
     s.ramp_time = spec_.ramp_time;
-    qu::MembershipUpdate all;
-    for (std::size_t i = 0; i < servers_.size(); ++i) {
-      if (spec_.cold) servers_[i].born = now_;
-      all.servers.push_back(told(i));
-    }
+    s.cross_zone_price = spec_.cross_zone_price;
+    return s;
+  }
+
+  void start_copies() {
+    for (std::size_t i = 0; i < servers_.size() && spec_.cold; ++i) servers_[i].born = now_;
     for (std::size_t i = 0; i < spec_.copies; ++i) {
-      s.copy_index = static_cast<int>(i);
-      copies_.emplace_back(s, spec_.seed * 1000 + i);
-      tell(i, qu::Started{});
-      tell(i, all);
+      copies_.push_back(make_copy(i));
+      meet_servers(i);
+    }
+  }
+
+  qu::Balancer make_copy(std::size_t i) const {
+    qu::Settings s = settings();
+    s.copy_index = static_cast<int>(i);
+    s.zone = static_cast<int>(zone_of(i));
+    return {s, spec_.seed * 1000 + i + 7919 * states_[i].life};
+  }
+  void meet_servers(std::size_t i) {
+    qu::MembershipUpdate all;
+    for (std::size_t j = 0; j < servers_.size(); ++j) {
+      if (!servers_[j].gone) all.servers.push_back(told(j));
     }
+    tell(i, qu::Started{});
+    tell(i, all);
   }
+  std::size_t zone_of(std::size_t place) const { return place % spec_.zones; }
 
   qu::Server told(std::size_t i) const {
     qu::Server out;
     out.address = std::to_string(i);
     out.cell = static_cast<int>(i / 4);
+    out.zone = static_cast<int>(zone_of(i));
     out.started = servers_[i].born;
     return out;
   }
@@ -155,9 +214,17 @@
     switch (next.what) {
       case What::kArrival:
         next_arrival();
-        return arrive();
+        return arrive(0);
+      case What::kAgain:
+        return arrive(next.a);
+      case What::kCrash:
+        return crash(spec_.faults[next.a]);
+      case What::kCopy:
+        return next.b == 0 ? begin(spec_.copy_faults[next.a]) : end(spec_.copy_faults[next.a]);
       case What::kFinish:
-        return finish(next.a, static_cast<std::uint32_t>(next.b >> 32), static_cast<std::uint32_t>(next.b));
+        if (servers_[(next.b >> 16) & 0xFFFFFFFF].life != next.b >> 48) return;  // it died meanwhile
+        return finish(next.a, static_cast<std::uint32_t>(next.b >> 16),
+                      static_cast<std::uint32_t>(next.b & 0xFFFF));
       case What::kTimeOut:
         return end(next.a, static_cast<std::uint32_t>(next.b), qu::Outcome::kTimedOut);
       case What::kEnd: {
@@ -167,13 +234,13 @@
         return;
       }
       case What::kTimer:
-        return tell(next.a, qu::TimerFired{next.b});
+        return tell(next.a & 0xFFFFFFFF, qu::TimerFired{next.b}, next.a >> 32);
       case What::kDeadline: {
         const auto it = open_.find(next.a);
         if (it == open_.end() || it->second.answered) return;
         answer(it->second, &Counts::failed);
         if (spec_.policy == Policy::kModule) tell(it->second.copy, qu::RequestGone{std::to_string(next.a)});
-        return forget(next.a);
+        return forget(next.a);  // its callers have left it
       }
       case What::kList:
         return change(spec_.changes[next.a]);
@@ -183,7 +250,11 @@
   void change(const ListChange& what) {
     qu::MembershipUpdate update;
     update.form = qu::MembershipUpdate::Form::kChanges;
-    for (std::size_t i = what.first; i < std::min(what.first + what.count, servers_.size()); ++i) {
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+      const bool hit =
+          what.servers.empty() ? i >= what.first && i < what.first + what.count : what.servers[i] != 0;
+      if (!hit) continue;
+      servers_[i].gone = what.state == qu::ServerState::kGone;
       if (what.restarted) {
         servers_[i].born = now_;
         servers_[i].fallen = false;
@@ -197,18 +268,59 @@
     for (std::size_t i = 0; i < copies_.size(); ++i) tell(i, update);
   }
 
-  void arrive() {
+  std::uint32_t draw_copy() {
+    const double at = unit();
+    if (weights_.empty()) return static_cast<std::uint32_t>(at * static_cast<double>(spec_.copies));
+    const auto it = std::lower_bound(weights_.begin(), weights_.end(), at * weights_.back());
+    return static_cast<std::uint32_t>(it - weights_.begin());
+  }
+
+  Asked* asked_of(const Ask& ask) {
+    const auto second = static_cast<std::size_t>(ask.born - kStart);
+    return second < result_.requests.size() ? &result_.requests[second][zone_of(ask.copy)] : nullptr;
+  }
+
+  // `again`: the place of a request that comes again, from 1; 0: a new one.
+  void arrive(std::size_t again) {
     const std::uint64_t number = ++last_;
     Open& open = open_[number];
-    double pick = unit() * offered_;
-    while (open.tenant + 1 < spec_.tenants.size() && (pick -= spec_.tenants[open.tenant].offered) >= 0) {
-      ++open.tenant;
+    if (again == 0) {
+      Ask ask;
+      double pick = unit() * offered_;
+      while (ask.tenant + 1 < spec_.tenants.size() && (pick -= spec_.tenants[ask.tenant].offered) >= 0) {
+        ++ask.tenant;
+      }
+      ask.copy = draw_copy();
+      ask.born = now_;
+      asks_.push_back(ask);
+      open.ask = asks_.size();
+      if (Asked* asked = asked_of(ask)) ++asked->asked;
+    } else {
+      open.ask = again;
+    }
+    Ask& ask = asks_[open.ask - 1];
+    ++ask.tries;
+    if (Asked* asked = asked_of(ask)) ++asked->tries;
+    open.tenant = ask.tenant;
+    // A front deals a client that comes again to another node of its zone; who is dead is noticed after a
+    // second.
+    open.copy = ask.copy;
+    for (std::size_t i = 0; again > 0 && i < spec_.copies; ++i) {
+      open.copy = draw_copy();
+      if (zone_of(open.copy) == zone_of(ask.copy)) break;
+    }
+    for (std::size_t i = 0; i < spec_.copies && states_[open.copy].dead && now_ > states_[open.copy].died + 1;
+         ++i) {
+      open.copy = static_cast<std::uint32_t>((open.copy + spec_.zones) % spec_.copies);
     }
-    open.copy = static_cast<std::uint32_t>(unit() * static_cast<double>(spec_.copies));
     open.arrived = now_;
     open.counted = now_ - kStart >= spec_.count_from;
     count(open, &Counts::asked);
     at(now_ + spec_.give_up, What::kDeadline, number, 0);
+    if (states_[open.copy].dead) {
+      answer(open, &Counts::failed);
+      return forget(number);
+    }
     if (spec_.policy != Policy::kModule) return route_plainly(number, open);
     qu::Request request;
     request.id = std::to_string(number);
@@ -236,21 +348,31 @@
     send(number, open, best, spec_.give_up);
   }
 
-  void tell(std::size_t copy, const qu::Event& event) {
+  // `life`: of the copy that it is meant for.
+  void tell(std::size_t copy, const qu::Event& event, std::uint64_t life = kAny) {
+    CopyState& state = states_[copy];
+    if (state.dead || (life != kAny && life != state.life)) return;
+    if (state.paused) {
+      state.waiting.push_back(event);
+      return;
+    }
     std::vector<qu::Action> actions;
     copies_[copy].handle(now_, event, actions);
     for (const qu::Action& action : actions) {
       if (const auto* a = std::get_if<qu::Send>(&action)) {
         const std::uint64_t number = std::stoull(a->id);
-        Open& open = open_.at(number);
-        if (open.answered) ++result_.answered_twice;
-        send(number, open, std::stoul(a->server), a->timeout);
+        const auto it = open_.find(number);
+        if (it == open_.end() || it->second.answered) {  // its client left while this copy stood
+          if (spec_.copy_faults.empty()) ++result_.answered_twice;
+          continue;
+        }
+        send(number, it->second, std::stoul(a->server), a->timeout);
       } else if (const auto* r = std::get_if<qu::Refuse>(&action)) {
         final(std::stoull(r->id), &Counts::refused);
       } else if (const auto* f = std::get_if<qu::Fail>(&action)) {
         final(std::stoull(f->id), &Counts::failed);
       } else if (const auto* t = std::get_if<qu::SetTimer>(&action)) {
-        at(std::max(now_, t->at), What::kTimer, copy, t->token);
+        at(std::max(now_, t->at), What::kTimer, copy | (state.life << 32), t->token);
       } else if (const auto* c = std::get_if<qu::Cancel>(&action)) {
         const auto it = open_.find(std::stoull(c->id));
         if (it == open_.end()) continue;
@@ -263,9 +385,11 @@
   }
 
   void final(std::uint64_t number, std::uint64_t Counts::*how) {
+    const auto it = open_.find(number);
+    if (it == open_.end() && !spec_.copy_faults.empty()) return;
     Open& open = open_.at(number);
     if (open.answered) {
-      ++result_.answered_twice;
+      if (spec_.copy_faults.empty()) ++result_.answered_twice;
     } else {
       answer(open, how);
     }
@@ -283,9 +407,90 @@
   void answer(Open& open, std::uint64_t Counts::*how) {
     open.answered = true;
     count(open, how);
-    if (how != &Counts::served) return;
+    const Ask& ask = asks_[open.ask - 1];
+    Asked* asked = asked_of(ask);
+    if (how != &Counts::served) {
+      const bool may = how == &Counts::refused || spec_.effect != qu::Effect::kUnsafe;
+      if (ask.tries < spec_.tries && may) {
+        at(now_ + exponential(spec_.retry_pause), What::kAgain, open.ask, 0);
+      } else if (asked != nullptr) {
+        ++(how == &Counts::refused ? asked->refused : asked->failed);
+      }
+      return;
+    }
     const double took = now_ - open.arrived;
     if (took <= spec_.aim) count(open, &Counts::in_aim);
+    if (asked == nullptr) return;
+    ++asked->served;
+    if (now_ - ask.born <= spec_.aim) ++asked->in_aim;
+    asked->latencies.push_back(static_cast<float>(now_ - ask.born));
+  }
+
+  // ------------------------------------------------------------ what happens to processes
+
+  void crash(const Fault& fault) {
+    for (auto& [number, open] : open_) {
+      for (std::size_t i = 0; i < open.attempts.size(); ++i) {
+        Attempt& a = open.attempts[i];
+        if (!a.open || !hits(fault, a.server, open.copy)) continue;
+        a.end = qu::Outcome::kReset;
+        at(now_, What::kEnd, number, i);
+      }
+    }
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+      if (!hits(fault, i, 0)) continue;
+      servers_[i].queue.clear();
+      ++servers_[i].life;
+      servers_[i].busy = 0;
+      std::erase_if(kept_, [i](const auto& entry) { return (entry.first & 0xFFFFFFFF) == i; });
+    }
+  }
+
+  void begin(const CopyFault& fault) {
+    CopyState& state = states_[fault.copy];
+    if (fault.kind == CopyFault::Kind::kPause) {
+      state.paused = true;
+      return;
+    }
+    state.dead = true;
+    state.died = now_;
+    ++state.life;
+    state.waiting.clear();
+    std::vector<std::uint64_t> held;
+    for (auto& [number, open] : open_) {
+      if (open.copy == fault.copy) held.push_back(number);
+    }
+    std::sort(held.begin(), held.end());
+    for (const std::uint64_t number : held) {
+      Open& open = open_[number];
+      for (Attempt& a : open.attempts) {
+        if (a.open) --servers_[a.server].held;
+        a.open = false;
+      }
+      if (!open.answered) answer(open, &Counts::failed);
+      open_.erase(number);
+    }
+  }
+
+  void end(const CopyFault& fault) {
+    CopyState& state = states_[fault.copy];
+    if (fault.kind == CopyFault::Kind::kPause) {
+      state.paused = false;
+      const std::vector<qu::Event> waiting = std::exchange(state.waiting, {});
+      for (const qu::Event& event : waiting) tell(fault.copy, event);
+      return;
+    }
+    state.dead = false;
+    copies_[fault.copy] = make_copy(fault.copy);
+    meet_servers(fault.copy);
+  }
+
+  bool hits(const Fault& f, std::size_t server, std::uint32_t copy) const {
+    const bool s =
+        f.servers_hit.empty() ? server >= f.first && server < f.first + f.count : f.servers_hit[server] != 0;
+    const bool c =
+        f.copies_hit.empty() ? f.copy < 0 || f.copy == static_cast<int>(copy) : f.copies_hit[copy] != 0;
+    return s && c;
   }
 
   void forget(std::uint64_t number) {
@@ -299,10 +504,8 @@
 
   const Fault* fault_of(std::size_t server, std::uint32_t copy, FaultKind kind) const {
     for (const Fault& f : spec_.faults) {
-      if (f.kind == kind && server >= f.first && server < f.first + f.count && now_ - kStart >= f.from &&
-          now_ - kStart < f.until && (f.copy < 0 || f.copy == static_cast<int>(copy))) {
+      if (f.kind == kind && now_ - kStart >= f.from && now_ - kStart < f.until && hits(f, server, copy))
         return &f;
-      }
     }
     return nullptr;
   }
@@ -345,7 +548,21 @@
       ++result_.dial_failed;
       return ends(now_ + spec_.refuse_time, qu::Outcome::kDialFailed);
     }
-    if (s.fallen || fault_of(to, open.copy, FaultKind::kHangConnect)) {
+    if (fault_of(to, open.copy, FaultKind::kCrash)) {
+      ++result_.dial_failed;
+      return ends(now_ + spec_.refuse_time, qu::Outcome::kDialFailed);
+    }
+    const std::uint64_t pair = (static_cast<std::uint64_t>(open.copy) << 32) | to;
+    const Fault* cut = fault_of(to, open.copy, FaultKind::kCut);
+    if (cut != nullptr) {
+      const auto kept = kept_.find(pair);
+      if (kept != kept_.end() &&
+          kept->second > now_ - spec_.idle_close) {  // written on it, and never heard of
+        at(now_ + timeout, What::kTimeOut, number, attempt);
+        return;
+      }
+    }
+    if (s.fallen || cut != nullptr || fault_of(to, open.copy, FaultKind::kHangConnect)) {
       ++result_.dial_failed;
       return ends(now_ + spec_.connect_timeout, qu::Outcome::kDialFailed);
     }
@@ -399,7 +616,7 @@
       const Fault* slow = fault_of(at_server, 0, FaultKind::kSlow);
       const double took = work() * (slow ? slow->factor : 1) / (s.speed * warmth(s));
       at(now_ + took, What::kFinish, job.request,
-         (static_cast<std::uint64_t>(at_server) << 32) | job.attempt);
+         (s.life << 48) | (static_cast<std::uint64_t>(at_server) << 16) | job.attempt);
     }
   }
 
@@ -408,7 +625,16 @@
     --s.busy;
     ++result_.done[at_server];
     begin(at_server);
-    end(number, attempt, qu::Outcome::kDelivered);
+    const auto it = open_.find(number);
+    if (it == open_.end()) return;
+    const std::uint32_t copy = it->second.copy;
+    const double way = zone_of(at_server) == zone_of(copy) ? 0 : 2 * spec_.between_zones;
+    const Fault* cut = fault_of(at_server, copy, FaultKind::kCut);
+    if (cut == nullptr && way == 0) return end(number, attempt, qu::Outcome::kDelivered);
+    Attempt& a = it->second.attempts[attempt];
+    if (!a.open) return;
+    a.end = qu::Outcome::kDelivered;
+    at((cut != nullptr ? kStart + cut->until : now_) + way, What::kEnd, number, attempt);
   }
 
   void end(std::uint64_t number, std::uint32_t attempt, qu::Outcome how) {
@@ -418,6 +644,14 @@
     if (!a.open) return;
     a.open = false;
     --servers_[a.server].held;
+    const std::uint64_t pair = (static_cast<std::uint64_t>(it->second.copy) << 32) | a.server;
+    if (!spec_.faults.empty()) {
+      if (how == qu::Outcome::kDelivered) {
+        kept_[pair] = now_;
+      } else if (how == qu::Outcome::kTimedOut || how == qu::Outcome::kReset) {
+        kept_.erase(pair);
+      }
+    }
     if (how == qu::Outcome::kDelivered && !it->second.answered) answer(it->second, &Counts::served);
     const bool done = it->second.answered;
     if (spec_.policy == Policy::kModule) {
@@ -436,6 +670,10 @@
   std::vector<Server> servers_;
   std::unordered_map<std::uint64_t, Open> open_;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
+  std::vector<Ask> asks_;
+  std::vector<CopyState> states_;
+  std::vector<double> weights_;                     // of the copies, summed up; empty: even
+  std::unordered_map<std::uint64_t, double> kept_;  // by copy and server: when a kept connection served last
   double now_ = 0, offered_ = 0;
   std::uint64_t order_ = 0, last_ = 0;
 };
--- a/emulator/fleet.h
+++ b/emulator/fleet.h
@@ -27,7 +27,10 @@
   kSilent,       // requests are taken and never answered
   kReset,        // the connection breaks once the request has arrived: it has run
   kError,        // answers an error at once: it may have run
-  kSlow          // works slower by `factor`
+  kSlow,         // works slower by `factor`
+  kCrash,        // what it holds breaks off as it begins, connects are refused
+  kCut  // nothing passes between it and the copies that are named: kept connections are silent, new ones
+        // never come up, answers that are ready come once it is over
 };
 
 struct Fault {
@@ -36,7 +39,20 @@
   FaultKind kind = FaultKind::kRefuse;
   double factor = 1;      // of kSlow
   std::size_t every = 1;  // of kRefuse: each so many connects
-  int copy = -1;          // of kRefuse: for this copy alone; -1: for all
+  int copy = -1;          // for this copy alone; -1: for all
+  // In place of first, count and copy, where they are not empty: by place, whether it is hit.
+  std::vector<char> servers_hit = {}, copies_hit = {};
+};
+
+// What happens to a copy's process.
+struct CopyFault {
+  enum class Kind {
+    kPause,  // it stands, and then meets all that came meanwhile
+    kKill  // it dies with all that it holds; its callers notice after a second, and it starts anew at the end
+  };
+  Kind kind = Kind::kPause;
+  double from = 0, until = 0;  // s
+  std::size_t copy = 0;
 };
 
 // The load from a time on, as a multiple of the specified one.
@@ -54,7 +70,8 @@
   double at = 0;
   std::size_t first = 0, count = 1;  // servers
   quinceusher::ServerState state = quinceusher::ServerState::kReady;
-  bool restarted = false;  // with a new start time: cold
+  bool restarted = false;          // with a new start time: cold
+  std::vector<char> servers = {};  // in place of first and count, where it is not empty: by place
 };
 
 struct Spec {
@@ -68,9 +85,18 @@
   std::vector<LoadStep> steps;  // in order; before the first the factor is 1
   std::vector<Fault> faults;
   std::vector<ListChange> changes;
+  std::vector<CopyFault> copy_faults;
   std::vector<double> speeds;  // of the first servers, 1 where absent
-  double seconds = 10;         // of arrivals
-  double count_from = 1;       // s; requests that arrive earlier are played and not counted
+  std::size_t zones = 1;       // copies and servers are dealt out among them in turn
+  double between_zones = 0;    // s, one way
+  double cross_zone_price = 0;
+  double uneven = 0;  // of the copies' traffic: the deviation of its logarithm
+  int tries = 1;  // of a client, with the first; it comes again when it is refused, or gets no answer to what
+                  // may be repeated
+  double retry_pause = 0.2;  // s, in the mean, before it does
+  double idle_close = 5;     // s for which connections are kept
+  double seconds = 10;       // of arrivals
+  double count_from = 1;     // s; requests that arrive earlier are played and not counted
   int tier = 0;
   int max_attempts = 5;
   bool cold = false;                            // all servers start cold at time 0
@@ -91,7 +117,15 @@
   }
 };
 
+// What became of requests, with all their tries: of those that were asked first in one second of one zone.
+struct Asked {
+  std::uint64_t asked = 0, in_aim = 0, served = 0, tries = 0;
+  std::uint64_t refused = 0, failed = 0;  // as the last try ended
+  std::vector<float> latencies;           // s, of the served, from the first try
+};
+
 struct Result {
+  std::vector<std::vector<Asked>> requests;  // [second][zone]
   Counts all;
   std::vector<Counts> tenants;
   std::vector<Counts> seconds;                             // by whole second of arrival, from 0 on
