Never budget a cold server more than the copy really sends; put experiments in a lab

Change: a copy's own servers get a part of the lesser of what is let in and what is sent, unless all are cold. nettlestand-lab: experiments in TOML on the emulator or on processes, means with 95% intervals, paired differences, one HTML page with plots; bench/recovery_map.py. The shedding line is worded in support.h.

--- a/emulator/fleet.cpp
+++ b/emulator/fleet.cpp
@@ -532,6 +532,7 @@
     const auto attempt = static_cast<std::uint32_t>(open.attempts.size());
     open.attempts.push_back({static_cast<std::uint32_t>(to), now_, true, false, qu::Outcome::kUnknown});
     ++result_.attempts;
+    if (Asked* asked = asked_of(asks_[open.ask - 1])) ++asked->attempts;
     ++result_.sent[to];
     const auto second = static_cast<std::size_t>(now_ - kStart);
     auto& by_second = result_.sent_by_second[to];
--- a/emulator/fleet.h
+++ b/emulator/fleet.h
@@ -119,7 +119,7 @@
 
 // What became of requests, with all their tries: of those that were asked first in one second of one zone.
 struct Asked {
-  std::uint64_t asked = 0, in_aim = 0, served = 0, tries = 0;
+  std::uint64_t asked = 0, in_aim = 0, served = 0, tries = 0, attempts = 0;
   std::uint64_t refused = 0, failed = 0;  // as the last try ended
   std::vector<float> latencies;           // s, of the served, from the first try
 };
--- /dev/null
+++ b/lab/experiment.cpp
@@ -0,0 +1,226 @@
+#include "lab/experiment.h"
+
+#define TOML_HEADER_ONLY 1
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace nettlestand::lab {
+namespace {
+
+[[noreturn]] void wrong(const toml::node* where, const std::string& what) {
+  const auto at = where != nullptr ? where->source().begin : toml::source_position{};
+  throw BadExperiment((at.line > 0 ? std::to_string(at.line) + ":" + std::to_string(at.column) + ": " : "") +
+                      what);
+}
+
+// One table; every key that is not asked for is told of by finish().
+class Section {
+ public:
+  Section(const toml::table* table, std::string name) : table_(table), name_(std::move(name)) {}
+
+  const toml::node* find(const char* key) {
+    known_.insert(key);
+    return table_ != nullptr ? table_->get(key) : nullptr;
+  }
+  double number(const char* key, double otherwise, double least, double most) {
+    const toml::node* node = find(key);
+    if (node == nullptr) return otherwise;
+    const auto value = node->value<double>();
+    if (!node->is_number() || !value) wrong(node, name_ + key + " is no number");
+    if (!(*value >= least && *value <= most)) {
+      wrong(node, name_ + key + " is not from " + std::to_string(least) + " to " + std::to_string(most));
+    }
+    return *value;
+  }
+  template <class Whole>
+  Whole whole(const char* key, Whole otherwise, double least, double most) {
+    const double value = number(key, static_cast<double>(otherwise), least, most);
+    if (value != std::floor(value)) wrong(find(key), name_ + key + " is no whole number");
+    return static_cast<Whole>(value);
+  }
+  double ms(const char* key, double otherwise, double least, double most) {
+    return number(key, otherwise * 1000, least, most) / 1000;
+  }
+  std::string text(const char* key, std::string otherwise, const std::set<std::string>& allowed = {}) {
+    const toml::node* node = find(key);
+    if (node == nullptr) return otherwise;
+    const auto value = node->value<std::string>();
+    if (!value) wrong(node, name_ + key + " is no text");
+    if (!allowed.empty() && !allowed.contains(*value)) wrong(node, name_ + key + ": no '" + *value + "'");
+    return *value;
+  }
+  Section section(const char* key) {
+    const toml::node* node = find(key);
+    if (node != nullptr && !node->is_table()) wrong(node, name_ + key + " is no table");
+    return {node != nullptr ? node->as_table() : nullptr, name_ + key + "."};
+  }
+  void finish() const {
+    if (table_ == nullptr) return;
+    for (const auto& [key, node] : *table_) {
+      if (!known_.contains(std::string(key.str())))
+        wrong(&node, "unknown key '" + name_ + std::string(key.str()) + "'");
+    }
+  }
+
+ private:
+  const toml::table* table_;
+  const std::string name_;
+  std::set<std::string> known_;
+};
+
+// A variant's tables over the experiment's own.
+void lay_over(toml::table& base, const toml::table& over) {
+  for (const auto& [key, node] : over) {
+    toml::node* old = base.get(key);
+    if (node.is_table() && old != nullptr && old->is_table()) {
+      lay_over(*old->as_table(), *node.as_table());
+    } else {
+      node.visit([&](const auto& value) { base.insert_or_assign(key, value); });
+    }
+  }
+}
+
+Setup read_setup(const toml::table& table) {
+  Setup out;
+  Section root(&table, "");
+  for (const char* key : {"name", "about", "seeds", "variant"}) root.find(key);
+  out.seconds = root.number("seconds", out.seconds, 1, 600);
+  out.count_from = root.number("count_from", out.count_from, 0, out.seconds);
+  out.script = root.text("faults", "");
+  Section fleet = root.section("fleet");
+  out.nodes = fleet.whole("nodes", out.nodes, 1, 400);
+  out.servers = fleet.whole("servers", out.servers, 1, 10000);
+  out.cores = fleet.whole("cores", out.cores, 1, 64);
+  out.work = fleet.ms("work_ms", out.work, 0.01, 10000);
+  out.draw = fleet.text("work", out.draw, {"exponential", "uniform", "fixed"});
+  out.between_zones = fleet.ms("between_zones_ms", 0, 0, 10000);
+  out.max_attempts = fleet.whole("max_attempts", out.max_attempts, 1, 100);
+  if (const toml::node* zones = fleet.find("zones")) {
+    out.zones.clear();
+    if (!zones->is_array()) wrong(zones, "fleet.zones is no list");
+    for (const toml::node& zone : *zones->as_array()) {
+      const auto name = zone.value<std::string>();
+      if (!name || name->empty()) wrong(&zone, "fleet.zones: a name is wanted");
+      out.zones.push_back(*name);
+    }
+    if (out.zones.empty()) wrong(zones, "fleet.zones is empty");
+  }
+  fleet.finish();
+  Section traffic = root.section("traffic");
+  out.load = traffic.number("load", out.load, 0.001, 20);
+  out.aim = traffic.ms("aim_ms", out.aim, 1, 600'000);
+  out.deadline = traffic.ms("deadline_ms", std::max(out.deadline, 2 * out.aim), 1, 600'000);
+  if (out.deadline < out.aim)
+    wrong(traffic.find("deadline_ms"), "traffic.deadline_ms is under traffic.aim_ms");
+  out.effect = traffic.text("effect", out.effect, {"safe", "unsafe"});
+  out.tries = traffic.whole("tries", out.tries, 1, 100);
+  out.retry_pause = traffic.ms("retry_pause_ms", out.retry_pause, 1, 600'000);
+  out.uneven = traffic.number("uneven", 0, 0, 5);
+  out.tenants = traffic.whole("tenants", out.tenants, 1, 100);
+  if (const toml::node* steps = traffic.find("step")) {
+    if (!steps->is_array()) wrong(steps, "traffic.step is no list of tables");
+    for (const toml::node& step : *steps->as_array()) {
+      if (!step.is_table()) wrong(&step, "traffic.step is no list of tables");
+      Section s(step.as_table(), "traffic.step.");
+      const double at = s.number("at", 0, 0, 600);
+      out.steps.emplace_back(at, s.number("factor", 1, 0, 100));
+      s.finish();
+    }
+  }
+  traffic.finish();
+  Section warm_up = root.section("warm_up");
+  out.start_capacity = warm_up.number("start_capacity", 1, 0, 1);
+  out.ramp_time = warm_up.ms("ramp_ms", 0, 0, 600'000);
+  warm_up.finish();
+  root.finish();
+  try {
+    out.faults();
+  } catch (const standins::ScriptError& problem) {
+    throw BadExperiment(std::string("faults: ") + problem.what());
+  }
+  return out;
+}
+
+}  // namespace
+
+std::vector<standins::Member> Setup::members() const {
+  using standins::Role;
+  std::vector<standins::Member> out;
+  for (std::size_t i = 0; i < nodes; ++i) {
+    out.push_back({"n" + std::to_string(i), Role::kNode, zones[i % zones.size()], "r"});
+  }
+  for (std::size_t i = 0; i < servers; ++i) {
+    out.push_back({"s" + std::to_string(i), Role::kServer, zones[i % zones.size()], "r"});
+  }
+  for (const std::string& zone : zones) out.push_back({"callers-" + zone, Role::kCallers, zone, "r"});
+  out.push_back({"discovery", Role::kDiscovery, "", ""});
+  return out;
+}
+
+std::pair<double, double> Setup::trouble() const {
+  double from = 0, until = 0;
+  bool any = false;
+  for (const standins::WorldFault& fault : faults()) {
+    from = any ? std::min(from, fault.at) : fault.at;
+    until = std::max(until, fault.lasts == standins::kForever ? fault.at : fault.at + fault.lasts);
+    any = true;
+  }
+  return {from, until};
+}
+
+Experiment read_experiment(std::string_view text) {
+  toml::table root;
+  try {
+    root = toml::parse(text);
+  } catch (const toml::parse_error& error) {
+    const auto at = error.source().begin;
+    throw BadExperiment(std::to_string(at.line) + ":" + std::to_string(at.column) +
+                        ": not valid TOML: " + std::string(error.description()));
+  }
+  Experiment out;
+  out.name = root["name"].value_or(std::string("unnamed"));
+  out.about = root["about"].value_or(std::string());
+  if (const toml::node* seeds = root.get("seeds")) {
+    if (const auto count = seeds->value<std::int64_t>(); count && *count >= 1 && *count <= 10'000) {
+      for (std::int64_t i = 1; i <= *count; ++i) out.seeds.push_back(static_cast<std::uint64_t>(i));
+    } else if (seeds->is_array()) {
+      for (const toml::node& seed : *seeds->as_array()) {
+        const auto value = seed.value<std::int64_t>();
+        if (!value || *value < 0) wrong(&seed, "seeds: whole numbers are wanted");
+        out.seeds.push_back(static_cast<std::uint64_t>(*value));
+      }
+    } else {
+      wrong(seeds, "seeds is a count from 1 to 10000 or a list");
+    }
+  }
+  if (out.seeds.empty()) out.seeds = {1, 2, 3, 4, 5};
+  const toml::node* variants = root.get("variant");
+  if (variants == nullptr) {
+    out.variants.push_back(read_setup(root));
+    return out;
+  }
+  if (!variants->is_array() || variants->as_array()->empty()) wrong(variants, "variant is no list of tables");
+  std::set<std::string> names;
+  for (const toml::node& variant : *variants->as_array()) {
+    if (!variant.is_table()) wrong(&variant, "variant is no list of tables");
+    toml::table own = *variant.as_table();
+    const auto name = own["name"].value<std::string>();
+    if (!name || name->empty()) wrong(&variant, "variant.name is missing");
+    if (!names.insert(*name).second) wrong(&variant, "variant '" + *name + "' stands there twice");
+    for (const char* key : {"seeds", "about", "variant"}) {
+      if (own.contains(key))
+        wrong(own.get(key), std::string("variant.") + key + " belongs to the experiment");
+    }
+    toml::table whole = root;
+    whole.erase("variant");
+    lay_over(whole, own);
+    out.variants.push_back(read_setup(whole));
+    out.variants.back().variant = *name;
+  }
+  return out;
+}
+
+}  // namespace nettlestand::lab
--- /dev/null
+++ b/lab/play_emulated.cpp
@@ -0,0 +1,228 @@
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <set>
+
+#include "lab/play.h"
+
+namespace nettlestand::lab {
+namespace {
+
+namespace si = standins;
+
+constexpr double kForGood = 1e6;    // s
+constexpr double kRestart = 0.05;   // s that a killed node is gone where it is started again at once
+constexpr double kEmulatedTip = 3;  // of present capacity, in two seconds: as the site has it
+
+double quantile(std::vector<float>& all, double part) {
+  if (all.empty()) return 0;
+  const auto at = all.begin() + static_cast<std::ptrdiff_t>(part * static_cast<double>(all.size() - 1));
+  std::nth_element(all.begin(), at, all.end());
+  return *at;
+}
+
+fleet::FaultKind kind_of(const si::Fault& fault) {
+  switch (fault.verb) {
+    case si::Verb::kRefuse:
+    case si::Verb::kReject:
+      return fleet::FaultKind::kRefuse;
+    case si::Verb::kHang:
+      return fleet::FaultKind::kHangConnect;
+    case si::Verb::kSilent:
+      return fleet::FaultKind::kSilent;
+    case si::Verb::kResetAfterRequest:
+      return fleet::FaultKind::kReset;
+    case si::Verb::kError:
+      return fleet::FaultKind::kError;
+    case si::Verb::kSlower:
+      return fleet::FaultKind::kSlow;
+    case si::Verb::kCrash:
+      return fleet::FaultKind::kCrash;
+    default:
+      throw CantPlay("the emulator does not play '" + si::to_text(fault) + "'");
+  }
+}
+
+// Ways between nodes and servers that are cut, gathered: copies that are cut off from the same servers at the
+// same times make one fault.
+class Cuts {
+ public:
+  void add(double from, double until, std::size_t copy, std::size_t server) {
+    cut_[{from, until}][copy].insert(server);
+  }
+  void into(fleet::Spec& spec) const {
+    for (const auto& [when, copies] : cut_) {
+      std::map<std::set<std::size_t>, std::vector<std::size_t>> alike;
+      for (const auto& [copy, servers] : copies) alike[servers].push_back(copy);
+      for (const auto& [servers, together] : alike) {
+        fleet::Fault fault;
+        fault.kind = fleet::FaultKind::kCut;
+        fault.from = when.first;
+        fault.until = when.second;
+        fault.servers_hit.resize(spec.servers);
+        fault.copies_hit.resize(spec.copies);
+        for (const std::size_t s : servers) fault.servers_hit[s] = 1;
+        for (const std::size_t c : together) fault.copies_hit[c] = 1;
+        spec.faults.push_back(fault);
+      }
+    }
+  }
+
+ private:
+  std::map<std::pair<double, double>, std::map<std::size_t, std::set<std::size_t>>> cut_;
+};
+
+}  // namespace
+
+fleet::Spec spec_of(const Setup& setup, std::uint64_t seed) {
+  fleet::Spec out;
+  out.servers = setup.servers;
+  out.copies = setup.nodes;
+  out.cores = setup.cores;
+  out.work = setup.work;
+  out.draw = setup.draw == "fixed"     ? fleet::WorkDraw::kFixed
+             : setup.draw == "uniform" ? fleet::WorkDraw::kUniform
+                                       : fleet::WorkDraw::kExponential;
+  out.aim = setup.aim;
+  out.give_up = setup.deadline;
+  out.effect = setup.effect == "safe" ? quinceusher::Effect::kSafe : quinceusher::Effect::kUnsafe;
+  const double each = 1.0 / setup.tenants;
+  for (int i = 0; i < setup.tenants; ++i) {
+    out.tenants.push_back({setup.capacity() * each, setup.capacity() * setup.load * each});
+  }
+  for (const auto& [at, factor] : setup.steps) out.steps.push_back({at, factor});
+  out.seconds = setup.seconds;
+  out.count_from = setup.count_from;
+  out.max_attempts = setup.max_attempts;
+  out.start_capacity = setup.start_capacity;
+  out.ramp_time = setup.ramp_time;
+  out.tip_multiple = kEmulatedTip;
+  out.tip_after = 2;
+  out.zones = setup.zones.size();
+  out.between_zones = setup.between_zones;
+  out.uneven = setup.uneven;
+  out.tries = setup.tries;
+  out.retry_pause = setup.retry_pause;
+  out.seed = seed;
+
+  const std::vector<si::Member> members = setup.members();
+  const auto server = [&](std::size_t member) { return member - setup.nodes; };
+  Cuts cuts;
+  for (const si::WorldFault& f : setup.faults()) {
+    const si::Member& who = members[f.who];
+    const double until = f.lasts == si::kForever ? kForGood : f.at + f.lasts;
+    if (f.to != si::WorldFault::kNobody) {
+      const si::Member& to = members[f.to];
+      if (f.verb != "cut") throw CantPlay("the emulator does not play '" + f.verb + "' on ways; only 'cut'");
+      if (who.role == si::Role::kNode && to.role == si::Role::kServer)
+        cuts.add(f.at, until, f.who, server(f.to));
+      if (who.role == si::Role::kServer && to.role == si::Role::kNode)
+        cuts.add(f.at, until, f.to, server(f.who));
+      const bool callers = who.role == si::Role::kCallers || to.role == si::Role::kCallers;
+      const bool node = who.role == si::Role::kNode || to.role == si::Role::kNode;
+      if (callers && node && who.zone == to.zone) throw CantPlay("the emulator does not cut callers off");
+      continue;  // nothing else passes on the other ways, but discovery's news: it tells at once here
+    }
+    switch (who.role) {
+      case si::Role::kNode: {
+        fleet::CopyFault fault;
+        fault.from = f.at;
+        fault.until = f.verb == "restart" ? f.at + kRestart : until;
+        fault.copy = f.who;
+        if (f.verb == "pause") {
+          fault.kind = fleet::CopyFault::Kind::kPause;
+        } else if (f.verb == "kill" || f.verb == "restart") {
+          fault.kind = fleet::CopyFault::Kind::kKill;
+        } else {
+          throw CantPlay("the emulator does not play '" + f.verb + "' of nodes");
+        }
+        out.copy_faults.push_back(fault);
+        break;
+      }
+      case si::Role::kServer: {
+        const std::size_t place = server(f.who);
+        if (f.verb == "server") {
+          fleet::Fault fault;
+          fault.kind = kind_of(f.server);
+          fault.from = f.at;
+          fault.until = until;
+          fault.first = place;
+          fault.count = 1;
+          fault.factor = f.server.a > 0 ? f.server.a : 1;
+          fault.every = static_cast<std::size_t>(std::max(1, f.server.every));
+          out.faults.push_back(fault);
+          break;
+        }
+        fleet::ListChange change;
+        change.at = f.at;
+        change.first = place;
+        change.state = f.verb == "leaving" ? quinceusher::ServerState::kDraining
+                       : f.verb == "gone"  ? quinceusher::ServerState::kGone
+                                           : quinceusher::ServerState::kReady;
+        change.restarted = f.verb == "back";
+        out.changes.push_back(change);
+        if (f.verb != "back" && f.lasts != si::kForever) {
+          change.at = until;
+          change.state = quinceusher::ServerState::kReady;
+          change.restarted = true;
+          out.changes.push_back(change);
+        }
+        break;
+      }
+      default:
+        throw CantPlay("the emulator has no discovery that goes down: its news come at once");
+    }
+  }
+  cuts.into(out);
+  // Changes at one moment are told together, as a list is.
+  std::stable_sort(out.changes.begin(), out.changes.end(),
+                   [](const fleet::ListChange& a, const fleet::ListChange& b) { return a.at < b.at; });
+  std::vector<fleet::ListChange> together;
+  for (const fleet::ListChange& change : out.changes) {
+    fleet::ListChange* last = together.empty() ? nullptr : &together.back();
+    if (last == nullptr || last->at != change.at || last->state != change.state ||
+        last->restarted != change.restarted) {
+      together.push_back(change);
+      together.back().servers.assign(out.servers, 0);
+      last = &together.back();
+    }
+    last->servers[change.first] = 1;
+  }
+  out.changes = std::move(together);
+  return out;
+}
+
+void check_emulated(const Setup& setup) { spec_of(setup, 1); }
+
+Run play_emulated(const Setup& setup, std::uint64_t seed) {
+  fleet::Result played = fleet::play(spec_of(setup, seed));
+  Run out;
+  out.variant = setup.variant;
+  out.seed = seed;
+  std::vector<float> all;
+  for (std::size_t second = 0; second < static_cast<std::size_t>(std::ceil(setup.seconds)); ++second) {
+    for (std::size_t zone = 0; zone < setup.zones.size(); ++zone) {
+      fleet::Asked& a = played.requests[second][zone];
+      out.series.push_back({static_cast<int>(second), setup.zones[zone], a.asked, a.in_aim, a.refused,
+                            a.failed, 1000 * quantile(a.latencies, 0.99)});
+      if (static_cast<double>(second) < setup.count_from) continue;
+      out.asked += a.asked;
+      out.in_aim += a.in_aim;
+      out.served += a.served;
+      out.refused += a.refused;
+      out.failed += a.failed;
+      out.tries += a.tries;
+      out.attempts += a.attempts;
+      all.insert(all.end(), a.latencies.begin(), a.latencies.end());
+    }
+  }
+  out.p50_ms = 1000 * quantile(all, 0.5);
+  out.p99_ms = 1000 * quantile(all, 0.99);
+  const auto [from, until] = setup.trouble();
+  out.recovery_s = recovery(out.series, setup.count_from, from, until, setup.seconds);
+  out.rules_broken = played.repeats_run + played.unanswered + played.answered_twice +
+                     played.sent_after_drain + played.fallen_over;
+  return out;
+}
+
+}  // namespace nettlestand::lab
--- /dev/null
+++ b/lab/result.cpp
@@ -0,0 +1,334 @@
+#include "lab/result.h"
+
+#include <rapidjson/document.h>
+#include <rapidjson/prettywriter.h>
+#include <rapidjson/stringbuffer.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <limits>
+#include <map>
+#include <stdexcept>
+
+namespace nettlestand::lab {
+namespace {
+
+constexpr double kRecovered = 0.95;  // of the service before
+constexpr int kHeldFor = 2;          // s that it must hold
+
+// Two-sided 95% quantiles of Student's t, by degrees of freedom from 1.
+constexpr std::array<double, 30> kStudent = {
+    12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201, 2.179, 2.160, 2.145, 2.131,
+    2.120,  2.110, 2.101, 2.093, 2.086, 2.080, 2.074, 2.069, 2.064, 2.060, 2.056, 2.052, 2.048, 2.045, 2.042};
+
+std::string text(const char* form, double a, double b = 0) {
+  std::array<char, 96> out{};
+  std::snprintf(out.data(), out.size(), form, a, b);
+  return out.data();
+}
+
+double part(std::uint64_t of, std::uint64_t all) {
+  return all == 0 ? 0 : static_cast<double>(of) / static_cast<double>(all);
+}
+
+std::string shown(const Estimate& e) {
+  return std::isfinite(e.half) ? text("%.4g ± %.2g", e.mean, e.half) : text("%.4g (one run)", e.mean);
+}
+
+}  // namespace
+
+std::string to_json(const Result& r) {
+  rapidjson::StringBuffer buffer;
+  rapidjson::PrettyWriter<rapidjson::StringBuffer> w(buffer);
+  w.SetIndent(' ', 1);
+  w.SetFormatOptions(rapidjson::kFormatSingleLineArray);
+  w.SetMaxDecimalPlaces(6);
+  const auto put = [&](const char* key, const std::string& value) {
+    w.Key(key);
+    w.String(value.c_str(), static_cast<rapidjson::SizeType>(value.size()));
+  };
+  const auto count = [&](const char* key, std::uint64_t value) {
+    w.Key(key);
+    w.Uint64(value);
+  };
+  const auto number = [&](const char* key, double value) {
+    w.Key(key);
+    w.Double(value);
+  };
+  w.StartObject();
+  put("experiment", r.experiment);
+  put("about", r.about);
+  put("on", r.on);
+  number("seconds", r.seconds);
+  w.Key("variants");
+  w.StartArray();
+  for (std::size_t i = 0; i < r.variants.size(); ++i) {
+    w.StartObject();
+    put("name", r.variants[i]);
+    number("trouble_from", r.troubles[i].first);
+    number("trouble_until", r.troubles[i].second);
+    w.EndObject();
+  }
+  w.EndArray();
+  w.Key("runs");
+  w.StartArray();
+  for (const Run& run : r.runs) {
+    w.StartObject();
+    put("variant", run.variant);
+    count("seed", run.seed);
+    w.Key("void");
+    w.Bool(run.is_void);
+    count("asked", run.asked);
+    count("in_aim", run.in_aim);
+    count("served", run.served);
+    count("refused", run.refused);
+    count("failed", run.failed);
+    count("tries", run.tries);
+    count("attempts", run.attempts);
+    number("p50_ms", run.p50_ms);
+    number("p99_ms", run.p99_ms);
+    number("recovery_s", run.recovery_s);
+    count("rules_broken", run.rules_broken);
+    w.Key("series");
+    w.StartArray();
+    for (const Point& p : run.series) {
+      w.StartArray();
+      w.Int(p.second);
+      w.String(p.zone.c_str());
+      w.Uint64(p.asked);
+      w.Uint64(p.in_aim);
+      w.Uint64(p.refused);
+      w.Uint64(p.failed);
+      w.Double(p.p99_ms);
+      w.EndArray();
+    }
+    w.EndArray();
+    w.EndObject();
+  }
+  w.EndArray();
+  w.EndObject();
+  return std::string(buffer.GetString(), buffer.GetSize()) + "\n";
+}
+
+Result read_result(std::string_view json) {
+  rapidjson::Document d;
+  d.Parse(json.data(), json.size());
+  if (d.HasParseError() || !d.IsObject()) throw std::runtime_error("no result: not valid JSON");
+  const auto need = [](const rapidjson::Value& in, const char* key) -> const rapidjson::Value& {
+    if (!in.IsObject() || !in.HasMember(key))
+      throw std::runtime_error(std::string("no result: '") + key + "' is missing");
+    return in[key];
+  };
+  const auto number = [&](const rapidjson::Value& in, const char* key) {
+    const auto& value = need(in, key);
+    if (!value.IsNumber()) throw std::runtime_error(std::string("no result: '") + key + "' is no number");
+    return value.GetDouble();
+  };
+  const auto count = [&](const rapidjson::Value& in, const char* key) {
+    const auto& value = need(in, key);
+    if (!value.IsUint64()) throw std::runtime_error(std::string("no result: '") + key + "' is no count");
+    return value.GetUint64();
+  };
+  const auto word = [&](const rapidjson::Value& in, const char* key) {
+    const auto& value = need(in, key);
+    if (!value.IsString()) throw std::runtime_error(std::string("no result: '") + key + "' is no text");
+    return std::string(value.GetString(), value.GetStringLength());
+  };
+  const auto list = [&](const rapidjson::Value& in, const char* key) {
+    const auto& value = need(in, key);
+    if (!value.IsArray()) throw std::runtime_error(std::string("no result: '") + key + "' is no list");
+    return value.GetArray();
+  };
+  Result out;
+  out.experiment = word(d, "experiment");
+  out.about = word(d, "about");
+  out.on = word(d, "on");
+  out.seconds = number(d, "seconds");
+  for (const auto& v : list(d, "variants")) {
+    out.variants.push_back(word(v, "name"));
+    out.troubles.emplace_back(number(v, "trouble_from"), number(v, "trouble_until"));
+  }
+  for (const auto& r : list(d, "runs")) {
+    Run run;
+    run.variant = word(r, "variant");
+    run.seed = count(r, "seed");
+    run.is_void = need(r, "void").IsTrue();
+    run.asked = count(r, "asked");
+    run.in_aim = count(r, "in_aim");
+    run.served = count(r, "served");
+    run.refused = count(r, "refused");
+    run.failed = count(r, "failed");
+    run.tries = count(r, "tries");
+    run.attempts = count(r, "attempts");
+    run.p50_ms = number(r, "p50_ms");
+    run.p99_ms = number(r, "p99_ms");
+    run.recovery_s = number(r, "recovery_s");
+    run.rules_broken = count(r, "rules_broken");
+    for (const auto& p : list(r, "series")) {
+      if (!p.IsArray() || p.Size() != 7) throw std::runtime_error("no result: a point has seven members");
+      run.series.push_back({p[0].GetInt(), p[1].GetString(), p[2].GetUint64(), p[3].GetUint64(),
+                            p[4].GetUint64(), p[5].GetUint64(), p[6].GetDouble()});
+    }
+    out.runs.push_back(std::move(run));
+  }
+  return out;
+}
+
+double recovery(const std::vector<Point>& series, double count_from, double from, double until,
+                double seconds) {
+  if (until <= 0) return -1;
+  std::map<int, std::pair<std::uint64_t, std::uint64_t>> by_second;
+  for (const Point& p : series) {
+    by_second[p.second].first += p.asked;
+    by_second[p.second].second += p.in_aim;
+  }
+  std::uint64_t asked = 0, good = 0;
+  for (const auto& [second, counts] : by_second) {
+    if (second < count_from || second + 1 > from) continue;
+    asked += counts.first;
+    good += counts.second;
+  }
+  if (asked == 0) return -1;
+  const double wanted = kRecovered * part(good, asked);
+  const int first = static_cast<int>(std::ceil(until));
+  for (int second = first; second + kHeldFor <= static_cast<int>(seconds); ++second) {
+    bool holds = true;
+    for (int s = second; s < second + kHeldFor; ++s) {
+      holds = holds && part(by_second[s].second, by_second[s].first) >= wanted;
+    }
+    if (holds) return second - until;
+  }
+  return -1;
+}
+
+const std::vector<std::string>& figures() {
+  static const std::vector<std::string> all = {"in time", "refused", "failed",   "p50 ms",
+                                               "p99 ms",  "tries",   "attempts", "recovery s"};
+  return all;
+}
+
+double figure_of(const Run& run, const std::string& name) {
+  if (name == "in time") return part(run.in_aim, run.asked);
+  if (name == "refused") return part(run.refused, run.asked);
+  if (name == "failed") return part(run.failed, run.asked);
+  if (name == "p50 ms") return run.p50_ms;
+  if (name == "p99 ms") return run.p99_ms;
+  if (name == "tries") return part(run.tries, run.asked);
+  if (name == "attempts") return part(run.attempts, run.asked);
+  if (name == "recovery s") return run.recovery_s;
+  throw std::invalid_argument("no figure '" + name + "'");
+}
+
+Estimate estimate(const std::vector<double>& values) {
+  Estimate out;
+  out.count = values.size();
+  out.half = std::numeric_limits<double>::infinity();
+  if (values.empty()) return out;
+  for (const double value : values) out.mean += value / static_cast<double>(values.size());
+  if (values.size() < 2) return out;
+  double square = 0;
+  for (const double value : values) square += (value - out.mean) * (value - out.mean);
+  const std::size_t free = values.size() - 1;
+  const double t = free <= kStudent.size() ? kStudent[free - 1] : 1.96 + 2.5 / static_cast<double>(free);
+  out.half = t * std::sqrt(square / static_cast<double>(free) / static_cast<double>(values.size()));
+  return out;
+}
+
+std::vector<const Run*> runs_of(const Result& result, const std::string& variant) {
+  std::vector<const Run*> out;
+  for (const Run& run : result.runs) {
+    if (run.variant == variant && !run.is_void) out.push_back(&run);
+  }
+  return out;
+}
+
+Difference difference(const std::vector<const Run*>& a, const std::vector<const Run*>& b,
+                      const std::string& figure) {
+  std::map<std::uint64_t, const Run*> by_seed;
+  for (const Run* run : a) by_seed[run->seed] = run;
+  std::vector<double> values;
+  for (const Run* run : b) {
+    const auto it = by_seed.find(run->seed);
+    if (it != by_seed.end()) values.push_back(figure_of(*run, figure) - figure_of(*it->second, figure));
+  }
+  Difference out{estimate(values), false};
+  out.told_apart = out.estimate.count >= 2 && std::abs(out.estimate.mean) > out.estimate.half;
+  return out;
+}
+
+std::string table(const Result& result) {
+  std::string out = "| variant | runs | rules broken |";
+  for (const std::string& figure : figures()) out += " " + figure + " |";
+  out += "\n|";
+  for (std::size_t i = 0; i < figures().size() + 3; ++i) out += " --- |";
+  out += "\n";
+  for (const std::string& variant : result.variants) {
+    const auto runs = runs_of(result, variant);
+    const auto all = std::count_if(result.runs.begin(), result.runs.end(),
+                                   [&](const Run& run) { return run.variant == variant; });
+    std::uint64_t broken = 0;
+    for (const Run* run : runs) broken += run->rules_broken;
+    out += "| " + variant + " | " + std::to_string(runs.size()) +
+           (static_cast<std::size_t>(all) > runs.size() ? " of " + std::to_string(all) + ", the rest void"
+                                                        : "") +
+           " | " + std::to_string(broken) + " |";
+    for (const std::string& figure : figures()) {
+      std::vector<double> values;
+      std::size_t never = 0;
+      for (const Run* run : runs) {
+        const double value = figure_of(*run, figure);
+        if (figure == "recovery s" && value < 0) {
+          ++never;
+        } else {
+          values.push_back(value);
+        }
+      }
+      out += " " + (values.empty() ? std::string("-") : shown(estimate(values))) +
+             (never > 0 && !values.empty() ? ", never in " + std::to_string(never) : "") + " |";
+    }
+    out += "\n";
+  }
+  return out;
+}
+
+namespace {
+
+std::string differences(const std::vector<const Run*>& a, const std::vector<const Run*>& b) {
+  std::string out;
+  for (const std::string& figure : figures()) {
+    if (figure == "recovery s") continue;
+    const Difference d = difference(a, b, figure);
+    out += "| " + figure + " | " + std::to_string(d.estimate.count) + " | " +
+           (d.estimate.count == 0 ? "-" : shown(d.estimate)) + " | " +
+           (d.told_apart ? (d.estimate.mean > 0 ? "more" : "less") : "can't be told apart") + " |\n";
+  }
+  return out;
+}
+
+const char* kDifferenceHead = "| figure | pairs | difference | verdict |\n| --- | --- | --- | --- |\n";
+
+}  // namespace
+
+std::string compare(const Result& a, const Result& b) {
+  std::string out;
+  for (const std::string& variant : b.variants) {
+    if (std::find(a.variants.begin(), a.variants.end(), variant) == a.variants.end()) continue;
+    out += "\n" + variant + ": the second less the first, seed by seed\n\n" + kDifferenceHead +
+           differences(runs_of(a, variant), runs_of(b, variant));
+  }
+  return out.empty() ? "no variant stands in both\n" : out;
+}
+
+std::string compare_variants(const Result& result) {
+  std::string out;
+  for (std::size_t i = 1; i < result.variants.size(); ++i) {
+    out += "\n" + result.variants[i] + " less " + result.variants[0] + ", seed by seed\n\n" +
+           kDifferenceHead +
+           differences(runs_of(result, result.variants[0]), runs_of(result, result.variants[i]));
+  }
+  return out;
+}
+
+}  // namespace nettlestand::lab
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -282,9 +282,9 @@
     return all_cold_ && room_.at_ease(now_) ? kAllCold : kColdBudget;
   }
 
-  // Admitted calls a second. A copy that has just started has not counted for long.
-  double admitted_rate() const {
-    return admitted_.at(now_) / -std::expm1((began_ - now_ - kBucket) / kAdmittedMemory);
+  // Calls a second. A copy that has just started has not counted for long.
+  double settled(const FadingRate& rate) const {
+    return rate.at(now_) / -std::expm1((began_ - now_ - kBucket) / kAdmittedMemory);
   }
 
   // Whether a server is in the subset: the ring is in the servers' order.
@@ -303,7 +303,12 @@
   bool budget_allows(ServerNode& s) {
     const double warm = warmth(s);
     if (warm >= 1) return true;
-    const double part = admitted_rate() * s.told.weight / usual_weight_ * (is_ours(s) ? spread_ : 1);
+    // Danger: in an overload much is let in that finds no room; a part of that is more than a part of what
+    // can be done. Where all are cold nothing else tells how much it could be.
+    const bool ours = is_ours(s);
+    const double rate =
+        ours && !all_cold_ ? std::min(settled(admitted_), settled(sent_)) : settled(admitted_);
+    const double part = rate * s.told.weight / usual_weight_ * (ours ? spread_ : 1);
     s.cold_tokens = std::min(1.0 + part * 0.1,
                              s.cold_tokens + (now_ - s.cold_at) * part * std::min(1.0, warm * cold_budget()));
     s.cold_at = now_;
@@ -504,6 +509,7 @@
     s.in_flight += 1;
     s.sent_sum += now_;
     room_.sent(now_);
+    sent_.add(now_);
     s.pace.sent(now_);
     p.attempts.push_back({*server, s.order, s.told.zone, s.told.cell, s.told.started, now_, true, true});
     out_->push_back(Send{id, s.told.address, limit});
@@ -521,16 +527,7 @@
     if (++count; now_ < next_log_) return;
     const int all = static_cast<int>(servers_.ring().size());
     const int out = all - static_cast<int>(servers_.well().size());
-    const auto n = [](int figure) { return std::to_string(figure); };
-    out_->push_back(LogLine{"shedding: " + n(denied_) + " over their tenant's limit, " + n(unplaced_) +
-                                " without a server with room; servers: " + n(left_out_) + " left out, " +
-                                n(taken_back_) + " taken back, " + n(out) + " of " + n(all) + " out",
-                            {{"denied", denied_},
-                             {"unplaced", unplaced_},
-                             {"left_out", left_out_},
-                             {"taken_back", taken_back_},
-                             {"out", out},
-                             {"servers", all}}});
+    out_->push_back(shedding_line(denied_, unplaced_, left_out_, taken_back_, out, all));
     denied_ = unplaced_ = left_out_ = taken_back_ = 0;
   }
 
@@ -710,7 +707,7 @@
   double far_part_ = 0;
   double sharers_ = 1;  // copies that use the same server
   double spread_ = 1;   // servers for each one of the subset
-  FadingRate admitted_{kAdmittedMemory}, over_{kAdmittedMemory};
+  FadingRate admitted_{kAdmittedMemory}, over_{kAdmittedMemory}, sent_{kAdmittedMemory};
   double next_cold_look_ = -kForever;
   double began_ = kForever;                         // when the first list came
   double usual_weight_ = 0, usual_at_ = -kForever;  // the most that was ready, of late
--- a/src/support.h
+++ b/src/support.h
@@ -324,4 +324,18 @@
   }
 };
 
+// What a period's shedding looks like in the log.
+inline LogLine shedding_line(int denied, int unplaced, int left_out, int taken_back, int out, int all) {
+  const auto n = [](int figure) { return std::to_string(figure); };
+  return {"shedding: " + n(denied) + " over their tenant's limit, " + n(unplaced) +
+              " without a server with room; servers: " + n(left_out) + " left out, " + n(taken_back) +
+              " taken back, " + n(out) + " of " + n(all) + " out",
+          {{"denied", denied},
+           {"unplaced", unplaced},
+           {"left_out", left_out},
+           {"taken_back", taken_back},
+           {"out", out},
+           {"servers", all}}};
+}
+
 }  // namespace quinceusher
--- a/standins/callers/load.cpp
+++ b/standins/callers/load.cpp
@@ -140,7 +140,9 @@
  private:
   struct Connection;
   struct Call {
-    std::string id, key;
+    std::string id, key, first_id;
+    double born = 0;
+    int tries = 1;
     std::size_t cls = 0, tenant = 0;
     double due = 0, first_byte_at = 0, sent_at = 0, again_at = 0;
     bool counts = true;
@@ -224,12 +226,28 @@
     ++in_flight_;
     weigh_tenants();
     Call call;
-    call.id = hex(prefix_ + begun_ * 0x9E3779B97F4A7C15ULL);
+    call.id = hex(prefix_ + ++last_id_ * 0x9E3779B97F4A7C15ULL);
+    call.first_id = call.id;
+    call.born = due;
     call.cls = draw(class_shares_);
     call.tenant = draw(tenant_shares_);
     call.due = due;
     call.counts = due >= began_ + s.warm_up;
     if (s.classes[call.cls].effect == CallEffect::kKeyed) call.key = call.id + hex(random_.next());
+    dispatch(std::move(call));
+  }
+
+  // A client comes again with what was not served.
+  void come_again(Call call) {
+    call.id = hex(prefix_ + ++last_id_ * 0x9E3779B97F4A7C15ULL);
+    ++call.tries;
+    call.due = now();
+    call.first_byte_at = call.sent_at = call.again_at = 0;
+    if (!call.key.empty()) call.key = call.id + hex(random_.next());
+    dispatch(std::move(call));
+  }
+
+  void dispatch(Call&& call) {
     const std::size_t target = next_target_++ % s.targets.size();
     while (!idle_[target].empty()) {
       Connection* c = find(idle_[target].back());
@@ -271,6 +289,7 @@
     out += s.tenants[c.call.tenant].name;
     out += "\r\nRequest-Timeout-Ms: ";
     out += std::to_string(std::max(1L, std::lround(cls.timeout * 1000)));
+    if (c.call.tries > 1) out += "\r\nClient-Retry: 1";
     if (!c.call.key.empty()) out.append("\r\nIdempotency-Key: ").append(c.call.key);
     if (!s.keep_alive) out += "\r\nConnection: close";
     if (cls.effect != CallEffect::kSafe) {
@@ -438,6 +457,8 @@
       CallRecord r;
       r.node = s.targets[target].node;
       r.id = call.id;
+      r.first_id = call.first_id;
+      r.born = call.born;
       r.request_class = cls.name;
       r.tenant = s.tenants[call.tenant].name;
       r.key = call.key;
@@ -453,6 +474,15 @@
       const std::size_t record = s.recorder->open(std::move(r));
       if (c != nullptr) c->last_record = record;
     }
+    const bool refused = how == CallEnd::kAnswered && (status == 429 || status == 503);
+    const bool served = how == CallEnd::kAnswered && status == 200 && own;
+    const bool may = refused || how == CallEnd::kNoConnect || cls.effect != CallEffect::kUnsafe;
+    if (s.rate > 0 && !served && may && call.tries < s.tries && !stopped_) {
+      loop_.after(random_.gap(1 / s.retry_pause), [this, call, alive = std::weak_ptr<int>(alive_)]() mutable {
+        if (!alive.expired()) come_again(std::move(call));
+      });
+      return;  // its client is still there
+    }
     --in_flight_;
     if (c == nullptr) again(how);
     end_if_over();
@@ -522,7 +552,7 @@
   std::function<void()> done_;
   double began_ = 0, ended_ = 0, next_at_ = 0, last_slow_look_ = 0;
   bool running_ = false, stopped_ = false, over_ = false;
-  std::uint64_t begun_ = 0, in_flight_ = 0, last_connection_ = 0;
+  std::uint64_t last_id_ = 0, begun_ = 0, in_flight_ = 0, last_connection_ = 0;
   std::size_t next_target_ = 0;
   std::vector<double> class_shares_, tenant_shares_;
   std::vector<LoadCounts> counts_;                // by class and tenant
--- a/standins/callers/load.h
+++ b/standins/callers/load.h
@@ -54,6 +54,9 @@
   double warm_up = 0;        // s at the start that do not count in the results
   std::uint64_t calls = 0;   // calls in all; 0: no limit
   bool keep_alive = true;    // else a connection for each call
+  int tries = 1;  // of the open loop's clients: they come again when refused or not connected, and where
+                  // the call may be repeated also when it fails or gets no answer
+  double retry_pause = 0.2;  // s in the mean before they do
   double patience = 0;       // s that a caller waits beyond the time-out, to see what comes late
   std::string path = "/api";
   std::uint64_t seed = 1;
--- a/standins/common/records.h
+++ b/standins/common/records.h
@@ -70,7 +70,9 @@
 struct CallRecord {
   std::string node;  // the name of the target it went to
   std::string id, request_class, tenant, key;
-  double timeout = 0;  // s, its Request-Timeout-Ms
+  std::string first_id;  // of the first try, where clients come again
+  double born = 0;       // when that was due
+  double timeout = 0;    // s, its Request-Timeout-Ms
   double first_byte_at = 0;
   double sent_at = 0;      // its last byte was written; with a second writing, of the first one
   double again_at = 0;     // it was written once more: the node had closed the connection it was on
