--- a/tests/lab/world_test.cpp
+++ b/tests/lab/world_test.cpp
@@ -375,14 +375,16 @@
             "");
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    World, PlantedFault,
-    testing::Values(Planted{"lost", "no request is lost", ""},
-                    Planted{"twice", "no effect happens twice",
-                            "at 0.5 servers: chance 0.3 reset-after-request for 1.5"},
-                    Planted{"drain", "drains are kept", "at 0.5 s0: leaving"},
-                    Planted{"cold", "a cold server is not pushed over", "at 0.3 servers: gone\nat 1 servers: back"}),
-    [](const testing::TestParamInfo<Planted>& info) { return std::string(info.param.fault); });
+INSTANTIATE_TEST_SUITE_P(World, PlantedFault,
+                         testing::Values(Planted{"lost", "no request is lost", ""},
+                                         Planted{"twice", "no effect happens twice",
+                                                 "at 0.5 servers: chance 0.3 reset-after-request for 1.5"},
+                                         Planted{"drain", "drains are kept", "at 0.5 s0: leaving"},
+                                         Planted{"cold", "a cold server is not pushed over",
+                                                 "at 0.3 servers: gone\nat 1 servers: back"}),
+                         [](const testing::TestParamInfo<Planted>& info) {
+                           return std::string(info.param.fault);
+                         });
 
 }  // namespace
 }  // namespace nettlestand::standins
