--- a/lab/experiment.cpp
+++ b/lab/experiment.cpp
@@ -212,12 +212,16 @@
     if (!names.insert(*name).second) wrong(&variant, "variant '" + *name + "' stands there twice");
     for (const char* key : {"seeds", "about", "variant"}) {
       if (own.contains(key))
-        wrong(own.get(key), std::string("variant.") + key + " belongs to the experiment");
+        wrong(variant.as_table()->get(key), std::string("variant.") + key + " belongs to the experiment");
     }
     toml::table whole = root;
     whole.erase("variant");
     lay_over(whole, own);
-    out.variants.push_back(read_setup(whole));
+    try {
+      out.variants.push_back(read_setup(whole));
+    } catch (const BadExperiment& problem) {
+      throw BadExperiment("variant '" + *name + "': " + problem.what());
+    }
     out.variants.back().variant = *name;
   }
   return out;
