Give processes wrong clocks, bad disks and lost state by a preloaded seam

Need: wall clocks that are off or step, disks that are slow, full or torn, and state that is lost or rolled back, for what comes.

--- a/lab/play_processes.cpp
+++ b/lab/play_processes.cpp
@@ -42,6 +42,7 @@
       out.load.floods.push_back({name, setup.steps[step].second, setup.steps[step].first, until});
     }
   }
+  out.node.stage = 0;  // callers reach it first, as the emulated ones
   out.node.attempts = setup.max_attempts;
   out.node.start_capacity = setup.start_capacity;
   out.node.ramp_time = setup.ramp_time;
--- /dev/null
+++ b/standins/seams/control.cpp
@@ -0,0 +1,70 @@
+#include "standins/seams/control.h"
+
+#include <fcntl.h>
+#include <sys/mman.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <cstring>
+#include <filesystem>
+#include <new>
+#include <stdexcept>
+
+namespace nettlestand::standins {
+namespace {
+
+namespace fs = std::filesystem;
+
+std::string base() {
+  const char* dir = std::getenv("TMPDIR");
+  return dir != nullptr ? dir : "/tmp";
+}
+
+std::string fresh_folder(const char* what) {
+  std::string out = base() + "/nettlestand_" + what + "_XXXXXX";
+  if (mkdtemp(out.data()) == nullptr) throw std::runtime_error("no folder in " + base());
+  return out;
+}
+
+}  // namespace
+
+Seams::Seams(const std::string& folder) {
+  path_ = base() + "/nettlestand_seams_XXXXXX";
+  const int fd = mkstemp(path_.data());
+  if (fd < 0 || ftruncate(fd, sizeof(SeamSettings)) != 0) throw std::runtime_error("no file in " + base());
+  void* at = mmap(nullptr, sizeof(SeamSettings), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+  close(fd);
+  if (at == MAP_FAILED) throw std::runtime_error("can't share " + path_);
+  settings_ = new (at) SeamSettings;
+  if (folder.size() + 1 > sizeof settings_->folder) throw std::runtime_error(folder + " is too long a name");
+  std::memcpy(settings_->folder, folder.c_str(), folder.size() + 1);
+}
+
+Seams::~Seams() {
+  munmap(settings_, sizeof(SeamSettings));
+  unlink(path_.c_str());
+}
+
+StateFolder::StateFolder() : path_(fresh_folder("state")), saved_(fresh_folder("saved")) {}
+
+StateFolder::~StateFolder() {
+  std::error_code ignored;
+  fs::remove_all(path_, ignored);
+  fs::remove_all(saved_, ignored);
+}
+
+void StateFolder::save() {
+  fs::remove_all(saved_);
+  fs::copy(path_, saved_, fs::copy_options::recursive);
+}
+
+void StateFolder::roll_back() {
+  lose();
+  fs::copy(saved_, path_, fs::copy_options::recursive);
+}
+
+void StateFolder::lose() {
+  for (const auto& entry : fs::directory_iterator(path_)) fs::remove_all(entry.path());
+}
+
+}  // namespace nettlestand::standins
