--- a/peers/decide.cpp
+++ b/peers/decide.cpp
@@ -281,6 +281,7 @@
     fresh.member.address = u.address;
     fresh.member.state = u.state == State::kSuspect ? State::kAlive : u.state;
     fresh.member.since = now;
+    learning_ = true;
     if (u.identity) {
       fresh.member.id = *u.identity;
       fresh.member.described = true;
@@ -553,6 +554,7 @@
   }
   heard(now, m.from, m.life, from);
   for (const Update& u : m.updates) apply(now, u, m.from, out);
+  if (learning_) next_sync_ = std::min(next_sync_, now + s_.learn_period);
   switch (m.kind) {
     case Kind::kPing: {
       if (m.target != 0 && m.target != key_) return;  // for who had this address before
@@ -749,7 +751,17 @@
     for (const auto& [key, e] : entries_) {
       if (!is_over(e.member.state)) all.push_back(key);
     }
-    if (!all.empty()) page(now, entry(all[below(all.size())])->member.address, out);
+    // Who learns of somebody new asks on: a fleet that starts together would hear of itself by news alone for
+    // minutes.
+    if (!all.empty() && learning_) {
+      Message ask = make(Kind::kSync);
+      ask.target = key_;
+      send(now, entry(all[below(all.size())])->member.address, std::move(ask), out);
+      next_sync_ = now + s_.learn_period;
+    } else if (!all.empty()) {
+      page(now, entry(all[below(all.size())])->member.address, out);
+    }
+    learning_ = false;
   }
   std::erase_if(entries_, [&](const auto& x) {
     return is_over(x.second.member.state) && now - x.second.member.since > s_.forget_after;
--- a/peers/decide.h
+++ b/peers/decide.h
@@ -103,7 +103,8 @@
   double most_doubt = 8;      // s where too few confirm it
   double news_per_s = 2;      // datagrams of news alone, a second
   double seek_period = 5;     // s between looks for the dead
-  double sync_period = 2;     // s between pages
+  double sync_period = 2;     // s between pages,
+  double learn_period = 0.1;  // and while they tell of members that were not known
   double forget_after = 600;  // s after which the dead and the left are forgotten, but for their lives
   int most_health = 8;        // Lifeguard: timeouts grow up to so many times
   bool plain_swim = false;    // for measurements: no self-awareness, no vouching, one accuser is enough
@@ -235,6 +236,7 @@
   Key page_at_ = 0;
   std::size_t seek_at_ = 0;
   bool left_ = false, refused_ = false, started_ = false;
+  bool learning_ = false;  // the last page told of somebody new
   Counters counters_;
 };
 
