--- a/standins/world/node_process.cpp
+++ b/standins/world/node_process.cpp
@@ -45,6 +45,19 @@
 
 }  // namespace
 
+CheckedClass checked(const NodeClass& c) {
+  CheckedClass to;
+  to.name = c.name;
+  to.effect = c.effect == "safe"    ? CheckedClass::Effect::kSafe
+              : c.effect == "keyed" ? CheckedClass::Effect::kKeyed
+                                    : CheckedClass::Effect::kUnsafe;
+  to.group = c.group == "all"    ? CheckedClass::Group::kAll
+             : c.group == "zone" ? CheckedClass::Group::kZone
+                                 : CheckedClass::Group::kCell;
+  to.window = c.window;
+  return to;
+}
+
 std::string NodeConfig::json() const {
   std::ostringstream out;
   out << R"({"name":")" << name << R"(","listen":")" << ip << ":" << listen << R"(","discovery":")"
--- a/standins/world/node_process.h
+++ b/standins/world/node_process.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "standins/checker/checker.h"
 #include "standins/common/records.h"
 
 namespace nettlestand::standins {
@@ -19,6 +20,9 @@
   double aim = 1, give_up = 2, late_worth = 0.5;  // s, s
 };
 
+// As the checker wants it.
+CheckedClass checked(const NodeClass& c);
+
 struct NodeTenant {
   std::string name;
   double allowance = 1000;  // calls/s over all nodes
--- a/standins/world/world.cpp
+++ b/standins/world/world.cpp
@@ -166,18 +166,7 @@
 
 CheckerSettings ProcessWorld::checked() const {
   CheckerSettings out;
-  for (const NodeClass& c : s_.node.classes) {
-    CheckedClass to;
-    to.name = c.name;
-    to.effect = c.effect == "safe"    ? CheckedClass::Effect::kSafe
-                : c.effect == "keyed" ? CheckedClass::Effect::kKeyed
-                                      : CheckedClass::Effect::kUnsafe;
-    to.group = c.group == "all"    ? CheckedClass::Group::kAll
-               : c.group == "zone" ? CheckedClass::Group::kZone
-                                   : CheckedClass::Group::kCell;
-    to.window = c.window;
-    out.classes.push_back(to);
-  }
+  for (const NodeClass& c : s_.node.classes) out.classes.push_back(standins::checked(c));
   for (std::size_t i = 0; i < s_.servers; ++i) {
     out.servers.push_back(
         {"s" + std::to_string(i), members_[server_members_[i]].zone, static_cast<int>(i / 2)});
--- a/tests/faults/world.h
+++ b/tests/faults/world.h
@@ -120,18 +120,7 @@
 
   std::vector<Violation> violations() {
     if (checked.classes.empty()) {
-      for (const NodeClass& c : config.classes) {
-        CheckedClass to;
-        to.name = c.name;
-        to.effect = c.effect == "safe"    ? CheckedClass::Effect::kSafe
-                    : c.effect == "keyed" ? CheckedClass::Effect::kKeyed
-                                          : CheckedClass::Effect::kUnsafe;
-        to.group = c.group == "all"    ? CheckedClass::Group::kAll
-                   : c.group == "zone" ? CheckedClass::Group::kZone
-                                       : CheckedClass::Group::kCell;
-        to.window = c.window;
-        checked.classes.push_back(to);
-      }
+      for (const NodeClass& c : config.classes) checked.classes.push_back(standins::checked(c));
       for (const Listing& s : listings) checked.servers.push_back({s.host, s.site, s.block});
     }
     return Checker(checked).check(evidence());
