End what a world's script had begun with the script

Cause: begin_node() (standins/world/world.cpp) kept the turns of a starved process and the looks for an ended one in functions that held themselves; the leak sanitizer found them in two tests. A process starved without an end would have kept play() for ever.

--- a/standins/world/world.cpp
+++ b/standins/world/world.cpp
@@ -18,6 +18,7 @@
 constexpr double kTipMultiple = 4;    // of what a cold server can do; beyond it, it falls over
 constexpr double kTurn = 0.02;        // s; of a process that is starved
 constexpr double kLookEvery = 1;      // s between looks at who waited for a core
+constexpr double kLookForEnd = 0.02;  // s
 constexpr double kLoopEvery = 0.02;   // s between looks at whether the stand-ins keep up
 constexpr double kMostLate = 0.1;     // s; later than that, and a run is void
 constexpr double kMostWaited = 0.25;  // s of that, beyond which a run is void
@@ -231,11 +232,13 @@
     std::this_thread::sleep_for(kStep);
   }
   // What was to end later ends now: the world is well again.
+  ending_ = true;
   while (!due_.empty()) {
     const auto f = std::move(due_.begin()->second);
     due_.erase(due_.begin());
     f();
   }
+  ending_ = false;
 }
 
 void ProcessWorld::watch_starvation() {
@@ -311,20 +314,7 @@
   } else if (fault.verb == "starve") {
     meant_[i] = true;
     const double until = now() + fault.lasts, share = fault.figures[0];
-    auto turn = std::make_shared<std::function<void()>>();
-    *turn = [this, i, until, share, turn] {
-      if (!nodes_[i]) return;
-      if (now() >= until) {
-        meant_[i] = false;
-        return;
-      }
-      nodes_[i]->pause();
-      after(kTurn * (1 - share), [this, i, share, turn] {
-        if (nodes_[i]) nodes_[i]->resume();
-        after(kTurn * share, *turn);
-      });
-    };
-    (*turn)();
+    starve(i, until, share);
   } else if (fault.verb == "kill" || fault.verb == "restart") {
     end_node(i, SIGKILL);
     if (fault.verb == "restart") {
@@ -354,16 +344,32 @@
   } else if (fault.verb == "term") {
     if (!nodes_[i]) return;
     nodes_[i]->signal(SIGTERM);
-    // Its end is awaited in looks, so that the script goes on meanwhile.
-    auto look = std::make_shared<std::function<void()>>();
-    const double back_at = now() + fault.lasts;
-    *look = [this, i, look, back_at, fault] {
-      if (nodes_[i] && nodes_[i]->running()) return after(0.02, *look);
-      end_node(i, SIGKILL);
-      if (fault.lasts != kForever) after(std::max(0.0, back_at - now()), [this, i] { start_node(i); });
-    };
-    after(0.02, *look);
+    after(kLookForEnd, [this, i, back_at = now() + fault.lasts] { await_end(i, back_at); });
+  }
+}
+
+// One turn of a process that runs for a part of the time, and then the next.
+void ProcessWorld::starve(std::size_t i, double until, double share) {
+  if (!nodes_[i]) return;
+  if (ending_ || now() >= until) {
+    meant_[i] = false;
+    return;
+  }
+  nodes_[i]->pause();
+  after(kTurn * (1 - share), [this, i, until, share] {
+    if (nodes_[i]) nodes_[i]->resume();
+    after(kTurn * share, [this, i, until, share] { starve(i, until, share); });
+  });
+}
+
+// A node's end after SIGTERM is awaited in looks, so that the script goes on meanwhile.
+void ProcessWorld::await_end(std::size_t i, double back_at) {
+  if (nodes_[i] && ending_) nodes_[i]->exit_code();
+  if (nodes_[i] && nodes_[i]->running()) {
+    return after(kLookForEnd, [this, i, back_at] { await_end(i, back_at); });
   }
+  end_node(i, SIGKILL);
+  if (back_at < kForever) after(std::max(0.0, back_at - now()), [this, i] { start_node(i); });
 }
 
 void ProcessWorld::begin_server(const WorldFault& fault) {
--- a/standins/world/world.h
+++ b/standins/world/world.h
@@ -88,6 +88,8 @@
   void begin_way(const WorldFault& fault);
   void start_node(std::size_t i);
   void end_node(std::size_t i, int signal);
+  void starve(std::size_t i, double until, double share);
+  void await_end(std::size_t i, double back_at);
   void after(double seconds, std::function<void()> f);
   void note(const WorldFault& fault, const char* kind);
   void watch_starvation();
@@ -118,6 +120,7 @@
   Starvation starvation_;
   double began_ = 0, start_took_ = 0, next_look_ = 0, loop_asked_ = 0;
   std::atomic<bool> loop_answered_ = true;
+  bool ending_ = false;  // what was to come ends now
 };
 
 // Plays a world until a run is not void, `tries` times at most, and says so on standard error. Returns what
