--- a/peers/decide.cpp
+++ b/peers/decide.cpp
@@ -378,7 +378,7 @@
   if (s_.plain_swim || accuser == key_) return;
   if (now - e.member.reached_at < kVouchMemory * s_.period) return vouch(now, e, out);
   if (!known && unit() * static_cast<double>(living_) < static_cast<double>(kConfirm))
-    begin_probe(now, e, true, out);
+    begin_probe(now, e, out);
 }
 
 // Tells a member that it is doubted: its refutation is worth more than this node's word.
@@ -400,7 +400,7 @@
 
 void Membership::health(int by) { health_ = std::clamp(health_ + by, 0, s_.most_health); }
 
-void Membership::begin_probe(double now, Entry& e, bool confirming, std::vector<Out>& out) {
+void Membership::begin_probe(double now, Entry& e, std::vector<Out>& out) {
   for (const Probe& p : probes_) {
     if (p.key == e.member.key) return;
   }
@@ -410,7 +410,6 @@
   p.seq = ++seq_;
   p.began = p.next = now;
   p.ends = now + scaled(s_.period * 0.9);
-  p.confirming = confirming;
   probes_.push_back(p);
   ++counters_.probes;
   step(now, probes_.back(), out);
@@ -429,7 +428,7 @@
     }
     Entry* e = entry(round_[round_at_++]);
     if (e == nullptr || is_over(e->member.state)) continue;
-    return begin_probe(now, *e, false, out);
+    return begin_probe(now, *e, out);
   }
 }
 
@@ -494,21 +493,21 @@
     // Only who has found out itself says so, and not before it has looked once more.
     if (!d.own || !enough) {
       if (now < d.since + scaled(s_.most_doubt) * 2) {
-        begin_probe(now, e, true, out);
+        begin_probe(now, e, out);
         d.until = now + s_.period;
         continue;
       }
       // Nobody confirms it and nobody refutes it: what this node knows is too little.
       if (!d.own || now < d.since + scaled(s_.most_doubt) * 3) {
         d.until = now + s_.period;
-        begin_probe(now, e, true, out);
+        begin_probe(now, e, out);
         continue;
       }
     }
     if (!d.last_look) {
       d.last_look = true;
       d.until = now + scaled(s_.period);
-      begin_probe(now, e, true, out);
+      begin_probe(now, e, out);
       continue;
     }
     if (now - e.member.reached_at < kVouchMemory * s_.period) {
@@ -685,7 +684,7 @@
     int asked = 0;
     for (auto& [key, e] : entries_) {
       if (is_over(e.member.state) || ++asked > 3) continue;
-      begin_probe(now, e, true, out);
+      begin_probe(now, e, out);
     }
   }
   last_tick_ = now;
--- a/peers/decide.h
+++ b/peers/decide.h
@@ -174,7 +174,7 @@
     std::uint32_t seq = 0;
     double began = 0, next = 0, ends = 0;
     int sent = 0;
-    bool asked_others = false, confirming = false, heard_others = false;
+    bool asked_others = false, heard_others = false;
   };
   struct Relay {  // a ping that was asked for
     std::uint32_t seq = 0, their_seq = 0;
@@ -200,7 +200,7 @@
   Update update_of(const Entry& e) const;
   Update self_update() const;
   void probe_next(double now, std::vector<Out>& out);
-  void begin_probe(double now, Entry& e, bool confirming, std::vector<Out>& out);
+  void begin_probe(double now, Entry& e, std::vector<Out>& out);
   void step(double now, Probe& probe, std::vector<Out>& out);
   void failed(double now, const Probe& probe, std::vector<Out>& out);
   void doubts(double now, std::vector<Out>& out);
@@ -234,7 +234,6 @@
          last_tick_ = 0;
   double quiet_until_ = 0;  // nobody is accused before
   Key page_at_ = 0;
-  std::size_t seek_at_ = 0;
   bool left_ = false, refused_ = false, started_ = false;
   bool learning_ = false;  // the last page told of somebody new
   Counters counters_;
--- a/tests/peers/fleet.h
+++ b/tests/peers/fleet.h
@@ -45,7 +45,6 @@
     core.tick(c.now(), out);
     done(c, out);
   }
-  void leave(emulator::Simulation&) {}
 
   void done(emulator::Context& c, std::vector<Membership::Out>& out) {
     for (Membership::Out& o : out) c.send(static_cast<emulator::ActorId>(o.to - 1), wire.encode(o.message));
