--- a/emulator/fleet.cpp
+++ b/emulator/fleet.cpp
@@ -15,7 +15,6 @@
 
 namespace qu = quinceusher;
 
-constexpr double kNever = std::numeric_limits<double>::infinity();
 constexpr std::uint64_t kAny = std::numeric_limits<std::uint64_t>::max();
 
 enum class What : std::uint8_t {
--- a/lab/play_emulated.cpp
+++ b/lab/play_emulated.cpp
@@ -14,13 +14,6 @@
 constexpr double kRestart = 0.05;   // s that a killed node is gone where it is started again at once
 constexpr double kEmulatedTip = 3;  // of present capacity, in two seconds: as the site has it
 
-double quantile(std::vector<float>& all, double part) {
-  if (all.empty()) return 0;
-  const auto at = all.begin() + static_cast<std::ptrdiff_t>(part * static_cast<double>(all.size() - 1));
-  std::nth_element(all.begin(), at, all.end());
-  return *at;
-}
-
 fleet::FaultKind kind_of(const si::Fault& fault) {
   switch (fault.verb) {
     case si::Verb::kRefuse:
--- a/lab/play_processes.cpp
+++ b/lab/play_processes.cpp
@@ -11,13 +11,6 @@
 
 namespace si = standins;
 
-double quantile(std::vector<double>& all, double part) {
-  if (all.empty()) return 0;
-  const auto at = all.begin() + static_cast<std::ptrdiff_t>(part * static_cast<double>(all.size() - 1));
-  std::nth_element(all.begin(), at, all.end());
-  return *at;
-}
-
 si::WorldSettings world_of(const Setup& setup, std::uint64_t seed, const std::string& node) {
   si::WorldSettings out;
   out.binary = node;
@@ -140,6 +133,10 @@
     throw CantPlay("processes: 250 machines at most");
   if (setup.uneven > 0) throw CantPlay("processes: traffic.uneven is the emulator's alone");
   if (setup.draw == "uniform") throw CantPlay("processes: work is exponential or fixed");
+  for (const si::WorldFault& fault : setup.faults()) {
+    if (si::needs_seams(fault))
+      throw CantPlay("processes: '" + fault.verb + "' is for tests, whose worlds have seams");
+  }
 }
 
 Run play_on_processes(const Setup& setup, std::uint64_t seed, const std::string& node) {
--- a/lab/result.h
+++ b/lab/result.h
@@ -2,6 +2,8 @@
 // I/O.
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -59,6 +61,15 @@
 };
 Estimate estimate(const std::vector<double>& values);
 
+// Of times in any unit, 0 where there are none; leaves them in another order.
+template <class Number>
+double quantile(std::vector<Number>& all, double part) {
+  if (all.empty()) return 0;
+  const auto at = all.begin() + static_cast<std::ptrdiff_t>(part * static_cast<double>(all.size() - 1));
+  std::nth_element(all.begin(), at, all.end());
+  return static_cast<double>(*at);
+}
+
 // What is known of a difference, run by run with the same seed. Void runs and their partners are left out.
 struct Difference {
   Estimate estimate;  // b - a
--- a/standins/world/script.cpp
+++ b/standins/world/script.cpp
@@ -229,6 +229,10 @@
 
 }  // namespace
 
+bool needs_seams(const WorldFault& fault) {
+  return fault.verb == "clock" || fault.verb.rfind("disk-", 0) == 0;
+}
+
 std::vector<WorldFault> read_world_script(std::string_view text, const std::vector<Member>& members) {
   Reader reader(members);
   std::istringstream in{std::string(text)};
--- a/standins/world/script.h
+++ b/standins/world/script.h
@@ -32,6 +32,9 @@
   static constexpr std::size_t kNobody = static_cast<std::size_t>(-1);
 };
 
+// Whether it is one of a wrong clock or a bad disk, for which a world has to have seams.
+bool needs_seams(const WorldFault& fault);
+
 // In the order of their times, and then of the script. Throws ScriptError, which names the line.
 std::vector<WorldFault> read_world_script(std::string_view text, const std::vector<Member>& members);
 
--- a/standins/world/world.cpp
+++ b/standins/world/world.cpp
@@ -187,8 +187,7 @@
 void ProcessWorld::play(const std::string& script, double seconds) {
   const std::vector<WorldFault> faults = read_world_script(script, members_);
   for (const WorldFault& fault : faults) {
-    const bool needs = fault.verb == "clock" || fault.verb.rfind("disk-", 0) == 0;
-    if (needs && s_.seams.empty()) {
+    if (needs_seams(fault) && s_.seams.empty()) {
       throw ScriptError("line " + std::to_string(fault.line) + ": '" + fault.verb +
                         "' needs a world with seams");
     }
@@ -328,7 +327,7 @@
     end_node(i, SIGKILL);
     fault.verb == "forget" ? states_[i]->lose() : states_[i]->roll_back();
     start_node(i);
-  } else if (fault.verb == "clock" || fault.verb.rfind("disk-", 0) == 0) {
+  } else if (needs_seams(fault)) {
     SeamSettings& seam = seams_[i]->settings();
     if (fault.verb == "clock") seam.wall_offset = fault.figures[0];
     if (fault.verb == "disk-slow") seam.disk_delay_us = static_cast<std::int64_t>(fault.figures[0] * 1e6);
--- a/tests/lab/experiment_test.cpp
+++ b/tests/lab/experiment_test.cpp
@@ -110,6 +110,8 @@
   EXPECT_THROW(check_emulated(setup("faults = \"callers-a -> n0: cut\"")), CantPlay);
   EXPECT_THROW(check_processes(setup("[fleet]\nnodes = 51")), CantPlay);
   EXPECT_THROW(check_processes(setup("[traffic]\nuneven = 1")), CantPlay);
+  EXPECT_THROW(check_processes(setup("faults = \"n0: clock 5\"")), CantPlay);
+  EXPECT_THROW(check_processes(setup("faults = \"n0: disk-torn\"")), CantPlay);
   EXPECT_NO_THROW(check_emulated(setup("faults = \"zone a <-> rest: cut\"")));
 }
 
