--- a/emulator/simulation.h
+++ b/emulator/simulation.h
@@ -53,7 +53,7 @@
   // Makes an actor's next life; `life` counts from 0.
   using Factory = std::function<std::unique_ptr<Actor>(ActorId self, std::uint64_t life)>;
 
-  explicit Simulation(std::uint64_t seed) : seed_(seed), random_(seed) {}
+  explicit Simulation(std::uint64_t seed) : seed_(seed), random_(seed), plain_(seed) {}
 
   // A further process, not started. Numbered from 0. `zone` for faults between groups.
   ActorId add(Factory factory, std::uint32_t zone = 0);
@@ -125,7 +125,7 @@
   standins::WayFaults network_;
   std::unordered_map<std::uint64_t, standins::WayFaults> ways_, zones_;
   std::unordered_map<std::uint64_t, standins::Way> roads_;  // those with bursts or bands, which have a state
-  standins::Way plain_{0};
+  standins::Way plain_;
   std::unordered_map<std::uint64_t, std::string> flying_;
   std::unordered_map<std::uint64_t, std::function<void()>> calls_;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
--- a/peers/decide.cpp
+++ b/peers/decide.cpp
@@ -1,99 +1,137 @@
 #include "peers/decide.h"
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 #include <limits>
 #include <stdexcept>
+#include <utility>
 
 namespace nettlestand::peers {
 namespace {
 
-constexpr std::size_t kUpdates =
-    4;                     // in a datagram, so that 256 bytes hold them; one with an identity counts as three
-constexpr int kPings = 3;  // of one probe
-constexpr double kReachMemory = 4;  // periods for which a reach that was told of counts
-constexpr double kVouchMemory = 2;  // periods for which an own answer speaks for a member
-constexpr double kFirstHold = 10;   // s without an accusation after a refutation that did not help this node
-constexpr double kLongestHold = 300;   // s
-constexpr std::size_t kConfirm = 5;    // members, in the mean, that look for themselves when one is doubted
-constexpr int kIdentityTold = 3;       // x the usual number of tellings
-constexpr std::uint64_t kRebirth = 1;  // what a life grows by when its node learns that it was thought dead
-
-bool is_over(State state) { return state == State::kDead || state == State::kLeft; }
+constexpr int kPings = 4;             // of a probe; a further one where an answer is late
+constexpr int kAskAfter = 3;          // timeouts, until others are asked to try
+constexpr double kProbeTimeouts = 5;  // a probe's length; others have two of them to answer in
+constexpr double kLookTimeouts = 4;   // a second look's: others are asked at once
+constexpr double kSwimProbe = 0.9;    // of a period, in the styles that are for measurements
+constexpr double kSwimTimeouts = 2;
+constexpr double kSwimDoubt = 4;     // s; plain SWIM's suspicion
+constexpr double kReachMemory = 4;   // periods for which a reach that was told of counts
+constexpr double kFreshContact = 2;  // periods for which an own contact speaks for a member
+constexpr double kFirstHold = 10;    // s without an accusation after a refutation that did not help this node
+constexpr double kLongestHold = 60;  // s
+constexpr double kConfirm = 5;       // members, in the mean, that look for themselves when one is doubted
+constexpr double kNotices = 24;      // and so many tell it
+constexpr int kPush = 3;             // others that hear of urgent news at once
+constexpr int kToldRebirth = 6;      // and of a rebirth
+constexpr std::uint64_t kLongestStep = std::uint64_t{1} << 42;  // of lives: 139 years in ms; more is a lie
+constexpr double kPages = 20;                                   // a second, while a node learns who is there
+constexpr double kPageWait = 0.5;                               // s for a page to come
+constexpr double kGreetings = 20;                               // a second, after the start
+constexpr std::size_t kMostGreeted = 600;
+constexpr int kQuickSeeks = 3;           // further looks for the dead, at once, for each that is found alive
+constexpr double kQuickSeek = 0.1;       // s
+constexpr double kClaimRefused = 2;      // s until a claim is looked at anew
+constexpr double kSweep = 10;            // s
+constexpr double kForgottenKept = 3600;  // s for which a forgotten member's lives are known at the least
+constexpr double kLeastRebirth = 0.2;    // s between two
+constexpr std::size_t kMostLooks = 64, kMostProbes = 512;
+constexpr double kNever = std::numeric_limits<double>::infinity();
 
 // Of two things said of one life with one incarnation, the worse one holds.
-int weight(State state) {
-  switch (state) {
-    case State::kAlive:
-      return 0;
-    case State::kSuspect:
-      return 1;
-    case State::kLeaving:
-      return 2;
-    case State::kDead:
-      return 3;
-    default:
-      return 4;
-  }
-}
+int weight(State state) { return static_cast<int>(state); }
 
 }  // namespace
 
-Key key_of(const std::string& name) { return XXH64(name.data(), name.size(), 0); }
-
-const char* name_of(State state) {
-  switch (state) {
-    case State::kAlive:
-      return "alive";
-    case State::kSuspect:
-      return "suspect";
-    case State::kDead:
-      return "dead";
-    case State::kLeaving:
-      return "leaving";
-    default:
-      return "left";
+Membership::Membership(Settings settings)
+    : s_(std::move(settings)),
+      key_(key_of(s_.self.name)),
+      self_(std::make_shared<const Identity>(s_.self)),
+      life_(s_.life),
+      random_(s_.seed),
+      observed_(static_cast<std::size_t>(std::clamp(s_.rings, 1, 8))),
+      spread_(s_.news_per_s, 5 * s_.news_per_s),
+      replies_(s_.replies_per_s, 4 * s_.replies_per_s) {
+  const auto short_text = [](const std::string& text) { return text.size() <= kLongestShort; };
+  if (s_.self.name.empty() || s_.self.name.size() > kLongestName) {
+    throw std::invalid_argument("name: 1 to 32 bytes");
   }
-}
-
-Membership::Membership(Settings settings) : s_(std::move(settings)), random_(s_.seed) {
-  const auto short_text = [](const std::string& text) { return text.size() <= 12; };
-  if (s_.self.name.empty() || s_.self.name.size() > 32) throw std::invalid_argument("name: 1 to 32 bytes");
   if (!short_text(s_.self.zone) || !short_text(s_.self.region) || !short_text(s_.self.version)) {
     throw std::invalid_argument("zone, region and version: 12 bytes at most");
   }
   if (s_.address == 0) throw std::invalid_argument("address: none");
   if (s_.life == 0) throw std::invalid_argument("life: from 1");
-  if (!(s_.period > 0) || !(s_.timeout > 0) || s_.timeout * (kPings + 1) > s_.period) {
-    throw std::invalid_argument("period and timeout: above 0, and a period holds four timeouts");
+  if (!(s_.period > 0) || !(s_.timeout > 0) || s_.timeout * (kProbeTimeouts + 1) > s_.period) {
+    throw std::invalid_argument("period and timeout: above 0, and a period holds six timeouts");
   }
+  if (s_.rings < 1 || s_.rings > 8) throw std::invalid_argument("rings: 1 to 8");
   if (s_.indirect < 0 || s_.accusers < 1) throw std::invalid_argument("indirect from 0, accusers from 1");
-  if (!(s_.least_doubt >= s_.period) || !(s_.most_doubt >= s_.least_doubt)) {
-    throw std::invalid_argument("least_doubt: a period at least; most_doubt: no less");
+  if (!(s_.least_doubt >= s_.timeout * kLookTimeouts) || !(s_.most_doubt >= s_.least_doubt)) {
+    throw std::invalid_argument("least_doubt: four timeouts at least; most_doubt: no less");
+  }
+  if (!(s_.news_per_s >= 1) || !(s_.replies_per_s >= 1) || !(s_.seek_period > 0) || !(s_.sync_period > 0)) {
+    throw std::invalid_argument("news_per_s and replies_per_s: from 1; seek_period and sync_period: above 0");
   }
-  key_ = key_of(s_.self.name);
-  life_ = s_.life;
+  if (s_.most_health < 0) throw std::invalid_argument("most_health: from 0");
+}
+
+void Membership::begin(double now, std::vector<Out>& out) {
+  now_ = now;
+  out_ = &out;
 }
 
-void Membership::start(double now, const std::vector<Address>& join, std::vector<Out>& out) {
+void Membership::end() {
+  if (urgent_) push();
+  plan();
+  out_ = nullptr;
+}
+
+void Membership::start(double now, const std::vector<Address>& addresses, std::vector<Out>& out) {
   started_ = true;
-  for (const Address a : join) {
-    if (a != s_.address && a != 0) join_.push_back(a);
-  }
-  last_tick_ = now;
+  spread_.start(now);
+  replies_.start(now);
+  join(addresses);
   // Nodes that start together must not probe together.
   next_probe_ = now + s_.period * unit();
-  next_news_ = now;
+  next_news_ = next_ask_ = next_greet_ = last_tick_ = next_ = now;
   next_seek_ = now + s_.seek_period * (0.5 + unit());
   next_sync_ = now + s_.sync_period * unit();
-  next_join_ = now;
-  tell(self_update());
+  next_sweep_ = now + kSweep;
+  greet_ = join_;
+  for (std::size_t k = greet_.size(); k > 1; --k) std::swap(greet_[k - 1], greet_[below(k)]);
+  if (greet_.size() > kMostGreeted) greet_.resize(kMostGreeted);
+  news_.add(self_update(true));
   tick(now, out);
 }
 
+void Membership::join(const std::vector<Address>& addresses) {
+  join_.clear();
+  for (const Address a : addresses) {
+    if (a != s_.address && a != 0) join_.push_back(a);
+  }
+}
+
+void Membership::adopt(double now, const std::vector<Member>& members) {
+  std::vector<Entry> fresh;
+  fresh.reserve(members.size());
+  for (const Member& m : members) {
+    if (m.key == key_ || table_.find(m.key) != nullptr || is_over(m.state)) continue;
+    Entry e;
+    e.key = m.key;
+    e.life = m.life;
+    e.address = m.address;
+    e.since = now;
+    e.incarnation = m.incarnation;
+    if (m.described) e.id = std::make_shared<const Identity>(m.id);
+    fresh.push_back(std::move(e));
+  }
+  living_ += table_.merge(std::move(fresh));
+  learning_ = false;
+  observe_anew();
+}
+
+// ------------------------------------------------------------ sending
+
 Message Membership::make(Kind kind) const {
   Message out;
   out.kind = kind;
@@ -102,42 +140,122 @@
   return out;
 }
 
-Update Membership::self_update() const {
+Update Membership::self_update(bool with_identity) const {
   Update out;
   out.key = key_;
   out.life = life_;
   out.incarnation = incarnation_;
-  out.state = left_ ? State::kLeft : State::kAlive;
+  out.state = state_;
   out.address = s_.address;
-  out.identity = s_.self;
+  if (with_identity) out.identity = self_;
   return out;
 }
 
-Update Membership::update_of(const Entry& e) const {
+Message Membership::hello() const {
+  Message out = make(Kind::kNews);
+  out.updates.push_back(self_update(true));
+  return out;
+}
+
+Update Membership::update_of(const Entry& e, bool with_identity) const {
   Update out;
-  out.key = e.member.key;
-  out.life = e.member.life;
-  out.incarnation = e.member.incarnation;
-  out.state = e.member.state;
-  out.address = e.member.address;
-  if (e.member.state == State::kSuspect && e.doubt) {
-    out.accuser = e.doubt->own ? key_ : e.doubt->accusers.empty() ? 0 : e.doubt->accusers.front();
+  out.key = e.key;
+  out.life = e.life;
+  out.incarnation = e.incarnation;
+  out.state = e.state;
+  out.address = e.address;
+  if (with_identity) out.identity = e.id;
+  if (e.state == State::kSuspect) {
+    const auto it = doubts_.find(e.key);
+    if (it != doubts_.end()) {
+      out.accuser = it->second.own ? key_ : it->second.accusers.empty() ? 0 : it->second.accusers.front();
+    }
   }
   return out;
 }
 
-Membership::Entry* Membership::entry(Key key) {
-  const auto it = entries_.find(key);
-  return it == entries_.end() ? nullptr : &it->second;
+// What goes with a datagram: what concerns its receiver first, then what was told least often.
+void Membership::send(Address to, Message message, const Entry* about) {
+  if (to == 0 || to == s_.address || refused_) return;
+  // Who is doubted, or thought dead, has to hear of it.
+  if (about != nullptr && about->state != State::kAlive && message.updates.size() < kMostUpdates) {
+    const Update u = update_of(*about);
+    if (bytes_of(message) + bytes_of(u) <= kMostBytes) message.updates.push_back(u);
+  }
+  news_.fill(message, table_.size());
+  out_->push_back({to, std::move(message)});
+}
+
+// What others have asked for: bounded, so that nobody makes this node send without end.
+bool Membership::reply(Address to, Message message, const Entry* about) {
+  if (!replies_.take(now_)) {
+    ++counters_.unsent;
+    return false;
+  }
+  send(to, std::move(message), about);
+  return true;
+}
+
+void Membership::tell(const Update& update, bool urgent) {
+  news_.add(update);
+  urgent_ = urgent_ || urgent;
+}
+
+// News that must not wait go to some at once, who do the same: all have heard within some ways' time.
+void Membership::push() {
+  urgent_ = false;
+  if (!shipped()) return;
+  for (int i = 0; i < kPush && !news_.empty(); ++i) {
+    const Entry* e = random_living();
+    if (e == nullptr || !spread_.take(now_)) return;
+    send(e->address, make(Kind::kNews), e);
+  }
+}
+
+const Entry* Membership::random_living() {
+  if (living_ < 2) return nullptr;
+  for (int tries = 0; tries < 32; ++tries) {
+    const Entry& e = table_[below(table_.size())];
+    if (!is_over(e.state) && e.address != 0) return &e;
+  }
+  // Few among many: the next one from a random place on.
+  const std::size_t from = below(table_.size());
+  for (std::size_t i = 0; i < table_.size(); ++i) {
+    const Entry& e = table_[(from + i) % table_.size()];
+    if (!is_over(e.state) && e.address != 0) return &e;
+  }
+  return nullptr;
 }
 
-const Member* Membership::find(Key key) const {
-  const auto it = entries_.find(key);
-  return it == entries_.end() ? nullptr : &it->second.member;
+// ------------------------------------------------------------ what is known
+
+Member Membership::member_of(const Entry& e) const {
+  Member m;
+  if (e.id) {
+    m.id = *e.id;
+    m.described = true;
+  }
+  m.key = e.key;
+  m.address = e.address;
+  m.life = e.life;
+  m.incarnation = e.incarnation;
+  m.state = e.state;
+  m.since = e.since;
+  m.heard_at = e.heard_at;
+  const auto reached = reached_.find(e.key);
+  if (reached != reached_.end()) {
+    m.reached_by = static_cast<std::size_t>(
+        std::count_if(reached->second.begin(), reached->second.end(),
+                      [&](const auto& r) { return r.second >= now_ - kReachMemory * s_.period; }));
+  }
+  const auto doubt = doubts_.find(e.key);
+  if (doubt != doubts_.end()) m.doubted_by = doubt->second.accusers.size();
+  return m;
 }
 
 std::vector<Member> Membership::members() const {
   std::vector<Member> out;
+  out.reserve(table_.size() + 1);
   Member self;
   self.id = s_.self;
   self.described = true;
@@ -145,657 +263,989 @@
   self.address = s_.address;
   self.life = life_;
   self.incarnation = incarnation_;
-  self.state = left_ ? State::kLeft : State::kAlive;
-  out.push_back(self);
-  for (const auto& [key, e] : entries_) out.push_back(e.member);
+  self.state = state_;
+  self.heard_at = now_;
+  out.push_back(std::move(self));
+  for (const Entry& e : table_) out.push_back(member_of(e));
   std::sort(out.begin(), out.end(), [](const Member& a, const Member& b) { return a.key < b.key; });
   return out;
 }
 
-std::vector<Change> Membership::changes() { return std::exchange(changes_, {}); }
-
-// Spreads an update: it goes with what is sent anyway, some times log2 of the fleet, and news of the same
-// member that is older goes.
-void Membership::tell(const Update& update) {
-  std::erase_if(news_, [&](const News& n) {
-    return n.update.key == update.key &&
-           (n.update.accuser == update.accuser || update.state != State::kSuspect);
-  });
-  news_.push_back({update, 0});
+std::optional<Member> Membership::find(Key key) const {
+  const Entry* e = table_.find(key);
+  if (e == nullptr) return std::nullopt;
+  return member_of(*e);
 }
 
-// What goes with a datagram: what concerns its receiver first, then what was told least often.
-void Membership::send(double, Address to, Message message, std::vector<Out>& out, Key about) {
-  if (to == 0 || to == s_.address) return;
-  std::size_t room = kUpdates;
-  const auto size = [](const Update& u) { return u.identity ? std::size_t{3} : std::size_t{1}; };
-  for (const Update& u : message.updates) room -= std::min(room, size(u));
-  const int usual = 3 + static_cast<int>(std::ceil(3 * std::log2(static_cast<double>(entries_.size()) + 2)));
-  if (about != 0) {  // who is doubted, or thought dead, has to hear of it
-    const Entry* e = entry(about);
-    if (e != nullptr && e->member.state != State::kAlive && room >= 1) {
-      message.updates.push_back(update_of(*e));
-      --room;
-    }
-  }
-  std::stable_sort(news_.begin(), news_.end(), [](const News& a, const News& b) { return a.sent < b.sent; });
-  for (News& n : news_) {
-    if (room < size(n.update)) break;
-    if (n.update.key == about && about != 0 && n.update.state != State::kAlive) continue;
-    message.updates.push_back(n.update);
-    room -= size(n.update);
-    ++n.sent;
-  }
-  std::erase_if(news_,
-                [&](const News& n) { return n.sent >= usual * (n.update.identity ? kIdentityTold : 1); });
-  out.push_back({to, std::move(message)});
+std::vector<Change> Membership::changes() { return std::exchange(changes_, {}); }
+
+// The latest life of a name that is known to have ended; 0: none.
+std::uint64_t Membership::ended_life(Key key) const {
+  if (const Entry* e = table_.find(key)) return is_over(e->state) ? e->life : e->life - 1;
+  const auto it = forgotten_.find(key);
+  return it == forgotten_.end() ? 0 : it->second.first;
 }
 
-void Membership::set_state(double now, Entry& e, State state) {
-  const State before = e.member.state;
+void Membership::set_state(Entry& e, State state, Key by) {
+  const State before = e.state;
   if (before == state) return;
   const bool lived = !is_over(before), lives = !is_over(state);
   living_ = living_ + (lives ? 1 : 0) - (lived ? 1 : 0);
-  e.member.state = state;
-  e.member.since = now;
-  if (state != State::kSuspect) e.doubt.reset();
+  e.state = state;
+  e.since = now_;
+  Change change{member_of(e), before, false, by};
+  if (state != State::kSuspect) doubts_.erase(e.key);
+  if (state == State::kDead) dead_.push_back(e.key);
+  if (before == State::kDead) std::erase(dead_, e.key);
   if (!lives) {
-    std::uint64_t& last = last_life_[e.member.key];
-    last = std::max(last, e.member.life);
+    reached_.erase(e.key);
+    holds_.erase(e.key);
+    claims_.erase(e.key);
   }
-  changes_.push_back({e.member, before, false});
+  changes_.push_back(std::move(change));
+  if (lived != lives) follow(e);
 }
 
-void Membership::heard(double now, Key from, std::uint64_t life, Address address) {
-  Entry* e = entry(from);
-  if (e == nullptr || e->member.life != life || is_over(e->member.state)) return;
-  e->member.reached_at = now;
-  e->hold_off = 0;
-  if (address != 0) e->member.address = address;
+// Who is observed follows who lives: the next one on each ring.
+void Membership::follow(const Entry& e) {
+  if (is_over(e.state)) {
+    if (std::find(observed_.begin(), observed_.end(), e.key) != observed_.end()) observe_anew();
+    return;
+  }
+  for (std::size_t ring = 0; ring < observed_.size(); ++ring) {
+    const auto far = [&](Key key) {
+      return ring_place(key, static_cast<int>(ring)) - ring_place(key_, static_cast<int>(ring));
+    };
+    if (observed_[ring] == 0 || far(e.key) < far(observed_[ring])) observed_[ring] = e.key;
+  }
 }
 
-// A new life under its own name: everybody else took the last one for dead.
-void Membership::reborn(double now, std::vector<Out>& out) {
-  life_ += kRebirth;
-  incarnation_ = 0;
-  ++counters_.rebirths;
-  probes_.clear();
-  quiet_until_ = now + 2 * s_.period;
-  tell(self_update());
-  // Those that are known hear of it at once, a few of them directly.
-  int told = 0;
-  for (auto& [key, e] : entries_) {
-    if (is_over(e.member.state) || ++told > 6) continue;
-    send(now, e.member.address, make(Kind::kNews), out);
-  }
-}
-
-void Membership::apply(double now, const Update& u, Key from, std::vector<Out>& out) {
-  if (u.key == key_) {
-    if (left_) return;
-    if (u.life < life_) return;
-    if (u.life > life_) {
-      // Another process has this name, and the larger life: it started later, or learnt sooner that it was
-      // thought dead.
-      if (u.address == s_.address) return;  // this process's own next life, told of by somebody quick
-      if (!is_over(u.state) && !refused_) ++counters_.twins;
-      return;
+void Membership::observe_anew() {
+  for (std::size_t ring = 0; ring < observed_.size(); ++ring) {
+    const std::uint64_t own = ring_place(key_, static_cast<int>(ring));
+    Key best = 0;
+    std::uint64_t least = 0;
+    for (const Entry& e : table_) {
+      if (is_over(e.state)) continue;
+      const std::uint64_t far = ring_place(e.key, static_cast<int>(ring)) - own;
+      if (best == 0 || far < least) {
+        best = e.key;
+        least = far;
+      }
     }
-    if (u.state == State::kAlive && u.address != s_.address && u.address != 0) {
-      ++counters_.twins;
-      return;
+    observed_[ring] = best;
+  }
+}
+
+// ------------------------------------------------------------ what is said
+
+void Membership::learn(const Update& u, Key from) {
+  if (u.key == key_) return about_me(u, from, 0);
+  Entry* e = table_.find(u.key);
+  const std::uint64_t known = e != nullptr ? e->life : ended_life(u.key);
+  if (known > 0 && u.life > known + kLongestStep) {
+    ++counters_.incredible;
+    return;
+  }
+  if (u.life <= ended_life(u.key)) return;  // a life that has ended does not come back
+  if (e == nullptr) return learn_first(u, from);
+  // What a member says of itself counts for more than what others say.
+  if (u.identity && u.life == e->life && (!e->id || (from == u.key && *e->id != *u.identity))) {
+    e->id = u.identity;
+    // The rest of the program hears of a member once more where it could not be told who that is.
+    changes_.push_back({member_of(*e), e->state, false, from});
+  }
+  if (u.life > e->life) {
+    const bool elsewhere = u.address != 0 && u.address != e->address && e->direct;
+    if (shipped() && elsewhere && !is_over(e->state) && !is_over(u.state) && from != u.key) {
+      return contest(*e, u);
     }
-    if (is_over(u.state)) return reborn(now, out);
-    if (u.state == State::kSuspect) {
-      // Danger: who has refuted this already, and was not heard, has to say so again.
-      if (u.incarnation >= incarnation_) {
-        incarnation_ = u.incarnation + 1;
-        ++counters_.refuted;
-        if (!s_.plain_swim) health(1);
+    return later_life(*e, u, from);
+  }
+  switch (u.state) {
+    case State::kSuspect:
+      if (e->state == State::kLeaving) return;
+      if (u.incarnation < e->incarnation) {  // who says so has missed the refutation
+        if (u.accuser == from && shipped()) {
+          if (const Entry* who = table_.find(from)) {
+            Message back = make(Kind::kNews);
+            back.updates.push_back(update_of(*e));
+            reply(who->address, std::move(back));
+          }
+        }
+        return;
       }
-      tell(self_update());
-      news_.back().update.identity.reset();
-      // Whoever said so hears it at once.
-      for (const Key key : {from, u.accuser}) {
-        if (const Entry* e = entry(key)) send(now, e->member.address, make(Kind::kNews), out);
+      e->incarnation = u.incarnation;
+      return accuse(*e, u.accuser, from);
+    case State::kAlive: {
+      if (u.incarnation <= e->incarnation) return;
+      e->incarnation = u.incarnation;
+      if (!e->direct && u.address != 0) e->address = u.address;
+      const auto doubt = doubts_.find(u.key);
+      if (e->state == State::kSuspect) {
+        // It lives, and this node could not reach it: what it finds next proves nothing new for a while.
+        if (doubt != doubts_.end() && doubt->second.own && shipped()) {
+          Hold& hold = holds_[u.key];
+          hold.length = std::clamp(hold.length * 2, kFirstHold, kLongestHold);
+          hold.until = now_ + hold.length;
+        }
+        set_state(*e, State::kAlive, from);
       }
+      return tell(u);
     }
-    return;
+    default:
+      if (weight(u.state) <= weight(e->state)) return;
+      e->incarnation = std::max(e->incarnation, u.incarnation);
+      set_state(*e, u.state, from);
+      return tell(update_of(*e));
   }
-  const auto ended = last_life_.find(u.key);
-  if (ended != last_life_.end() && u.life <= ended->second && !is_over(u.state)) {
-    // A life that has ended does not come back; who lives it is told when it is next heard of.
+}
+
+void Membership::learn_first(const Update& u, Key from) {
+  if (is_over(u.state)) {  // nobody that one could count on: its lives alone are remembered
+    auto& [life, at] = forgotten_[u.key];
+    life = std::max(life, u.life);
+    at = now_;
     return;
   }
-  Entry* e = entry(u.key);
-  if (e == nullptr) {
-    if (is_over(u.state)) {
-      std::uint64_t& last = last_life_[u.key];
-      last = std::max(last, u.life);
-      // Known as ended, so that pages tell of it, and nobody asks again.
-    }
-    Entry fresh;
-    fresh.member.key = u.key;
-    fresh.member.life = u.life;
-    fresh.member.incarnation = u.incarnation;
-    fresh.member.address = u.address;
-    fresh.member.state = u.state == State::kSuspect ? State::kAlive : u.state;
-    fresh.member.since = now;
-    learning_ = true;
-    if (u.identity) {
-      fresh.member.id = *u.identity;
-      fresh.member.described = true;
-    }
-    e = &entries_.emplace(u.key, std::move(fresh)).first->second;
-    if (!is_over(u.state)) ++living_;
-    changes_.push_back({e->member, State::kDead, true});
-    round_.insert(round_.begin() + static_cast<std::ptrdiff_t>(below(round_.size() + 1)), u.key);
-    tell(u);
-    if (u.state == State::kSuspect) accuse(now, *e, u.accuser, out);
+  if (table_.size() >= s_.most_members) {
+    ++counters_.overflow;
     return;
   }
-  Member& m = e->member;
-  if (u.identity && !m.described && u.life >= m.life) {
-    m.id = *u.identity;
-    m.described = true;
+  Entry fresh;
+  fresh.key = u.key;
+  fresh.life = u.life;
+  fresh.incarnation = u.incarnation;
+  fresh.address = u.address;
+  fresh.state = u.state == State::kSuspect ? State::kAlive : u.state;
+  fresh.since = now_;
+  fresh.id = u.identity;
+  forgotten_.erase(u.key);
+  Entry& e = table_.insert(std::move(fresh));
+  ++living_;
+  learned_ = true;
+  changes_.push_back({member_of(e), State::kDead, true, from});
+  if (!e.id) undescribed_.push_back(e.key);
+  follow(e);
+  tell(u);
+  if (u.state == State::kSuspect) accuse(e, u.accuser, from);
+}
+
+// The life that was known is over.
+void Membership::later_life(Entry& e, const Update& u, Key from) {
+  if (!is_over(e.state)) set_state(e, State::kDead, from);
+  e.life = u.life;
+  e.incarnation = u.incarnation;
+  if (u.address != 0) e.address = u.address;
+  e.direct = false;
+  if (u.identity) e.id = u.identity;
+  e.heard_at = -1e18;
+  doubts_.erase(u.key);
+  holds_.erase(u.key);
+  claims_.erase(u.key);
+  if (is_over(u.state)) {
+    e.state = u.state;
+    e.since = now_;
+    if (u.state == State::kLeft) std::erase(dead_, u.key);
+  } else {
+    set_state(e, u.state == State::kLeaving ? State::kLeaving : State::kAlive, from);
+    if (!e.id) undescribed_.push_back(e.key);
   }
-  if (u.life > m.life) {  // a later life: the one that was known is over
-    if (!is_over(m.state)) set_state(now, *e, State::kDead);
-    last_life_[u.key] = std::max(last_life_[u.key], m.life);
-    m.life = u.life;
-    m.incarnation = u.incarnation;
-    if (u.address != 0) m.address = u.address;
-    if (u.identity) m.id = *u.identity;
-    e->reached.clear();
-    e->hold_off = 0;
-    m.reached_at = -1e18;
-    if (is_over(u.state)) {
-      last_life_[u.key] = std::max(last_life_[u.key], u.life);
-      m.state = u.state;
-    } else {
-      set_state(now, *e, u.state == State::kLeaving ? State::kLeaving : State::kAlive);
-    }
-    tell(u);
+  Update told = u;
+  told.address = e.address;
+  if (!told.identity) told.identity = e.id;
+  tell(told);
+  if (u.state == State::kSuspect) accuse(e, u.accuser, from);
+}
+
+// What others say of this node. `floor`: lives up to there are taken.
+void Membership::about_me(const Update& u, Key from, std::uint64_t floor) {
+  if (left_ || refused_ || u.life < life_) return;
+  if (std::max(u.life, floor) > life_ + kLongestStep) {
+    ++counters_.incredible;
     return;
   }
-  if (u.life < m.life) return;
-  if (is_over(m.state)) return;
-  if (u.state == State::kSuspect) {
-    if (u.incarnation >= m.incarnation && m.state != State::kLeaving) {
-      m.incarnation = u.incarnation;
-      accuse(now, *e, u.accuser, out);
+  if (u.life > life_) {
+    if (!is_over(u.state) && u.address != 0 && u.address != s_.address) {
+      // Another process, where this one is not. Who holds the name is for the others to say.
+      ++namesakes_;
+      ++counters_.twins;
+      return;
     }
-    return;
+    return reborn(std::max(u.life, floor));  // a former self that a wrong clock had given a larger life
   }
-  if (u.state == State::kAlive) {
-    if (u.incarnation <= m.incarnation) return;
-    m.incarnation = u.incarnation;
-    if (u.address != 0) m.address = u.address;
-    if (m.state == State::kSuspect) {
-      // It lives, and this node could not reach it: what it finds next proves nothing new for a while.
-      if (e->doubt && e->doubt->own) {
-        e->hold_off = std::clamp(e->hold_off * 2, kFirstHold, kLongestHold);
-        e->next_accusation = now + e->hold_off;
-      }
-      set_state(now, *e, State::kAlive);
-    }
-    tell(u);
-    return;
+  if (is_over(u.state)) return reborn(std::max(u.life, floor));
+  if (u.state == State::kSuspect) refute(u, from);
+}
+
+// A new life under its own name: everybody else took the last one for dead.
+void Membership::reborn(std::uint64_t floor) {
+  if (now_ - reborn_at_ < kLeastRebirth) return;
+  reborn_at_ = now_;
+  life_ = std::max(life_, floor) + 1;
+  incarnation_ = 0;
+  ++counters_.rebirths;
+  probes_.clear();
+  quiet_until_ = now_ + 2 * s_.period;
+  news_.drop(key_);
+  tell(self_update(true));
+  for (int i = 0; i < kToldRebirth; ++i) {
+    if (const Entry* e = random_living()) send(e->address, make(Kind::kNews), e);
+  }
+}
+
+void Membership::refute(const Update& u, Key from) {
+  // Danger: who has refuted this already, and was not heard, has to say so again.
+  if (u.incarnation >= incarnation_) {
+    incarnation_ = u.incarnation + 1;
+    ++counters_.refuted;
+    if (!swim()) health(1);
+    tell(self_update(false));
+  } else {
+    tell(self_update(false), false);
+  }
+  // Whoever said so hears it at once, and who has told of it: the way to here works, so may the way back.
+  for (const Key key : {from, u.accuser}) {
+    const Entry* e = table_.find(key);
+    if (e == nullptr) continue;
+    Message back = make(Kind::kNews);
+    back.updates.push_back(self_update(false));
+    reply(e->address, std::move(back));
+    if (from == u.accuser) break;
+  }
+}
+
+// Who is taken for dead and speaks has to hear so, and beyond which lives it has to go.
+void Membership::answer_the_ended(const Message& m, Address from) {
+  for (const Update& u : m.updates) {
+    if (u.key == key_) about_me(u, m.from, m.kind == Kind::kNews && m.target == key_ ? m.target_life : 0);
+  }
+  const Entry* e = table_.find(m.from);
+  // What a former self had still sent, from where its next life is now.
+  if (e != nullptr && !is_over(e->state) && e->address == from) return;
+  Message back = make(Kind::kNews);
+  back.target = m.from;
+  back.target_life = e != nullptr ? e->life : ended_life(m.from);
+  Update u;
+  u.key = m.from;
+  u.life = m.life;
+  u.state = State::kDead;
+  back.updates.push_back(u);
+  // Danger: two that hold each other for dead would tell each other so without end.
+  if (m.kind != Kind::kNews || unit() < 0.5) reply(from, std::move(back));
+  // There may be more where it was found.
+  if (e != nullptr && e->state == State::kDead) quick_seeks_ = std::min(quick_seeks_ + kQuickSeeks, 60);
+}
+
+// ------------------------------------------------------------ names that two use
+
+// Whether a datagram is of a process that uses a name which another one holds, as far as is known.
+bool Membership::claimed(const Message& m, Address from) {
+  Entry* e = table_.find(m.from);
+  if (!shipped() || e == nullptr || m.life <= e->life || is_over(e->state) || from == e->address ||
+      e->address == 0 || !e->direct) {
+    return false;
   }
-  if (weight(u.state) > weight(m.state)) {
-    m.incarnation = std::max(m.incarnation, u.incarnation);
-    set_state(now, *e, u.state);
-    tell(update_of(*e));
+  Update u;
+  u.key = m.from;
+  u.life = m.life;
+  u.address = from;
+  for (const Update& said : m.updates) {
+    if (said.key == m.from) u.identity = said.identity;
   }
+  const auto it = claims_.find(m.from);
+  if (it != claims_.end() && it->second.refused && now_ < it->second.until) {
+    // Both are told: who holds the name, and who wants it.
+    Message back = make(Kind::kTaken);
+    back.target = m.from;
+    back.target_life = e->life;
+    reply(from, std::move(back));
+    Message notice = make(Kind::kNews);
+    notice.updates.push_back(u);
+    notice.updates.back().identity.reset();
+    reply(e->address, std::move(notice));
+    return true;
+  }
+  contest(*e, u);
+  return true;
 }
 
-// Somebody has failed to reach a member. Who reaches it says so; some look for themselves.
-void Membership::accuse(double now, Entry& e, Key accuser, std::vector<Out>& out) {
-  if (e.member.state == State::kLeaving || is_over(e.member.state)) return;
-  const bool known = e.doubt.has_value() && e.member.state == State::kSuspect;
+// Asks who holds a name whether it still does.
+void Membership::contest(Entry& e, const Update& u) {
+  Claim& claim = claims_[e.key];
+  if (claim.refused && now_ < claim.until) return;
+  claim.update = u;
+  claim.refused = false;
+  claim.until = kNever;
+  probe(e, Why::kClaim);
+}
+
+// ------------------------------------------------------------ doubt
+
+// Somebody has failed to reach a member. Who reaches it says so; some look for themselves, some tell it.
+void Membership::accuse(Entry& e, Key accuser, Key by) {
+  if (e.state == State::kLeaving || is_over(e.state)) return;
+  const bool known = e.state == State::kSuspect && doubts_.contains(e.key);
+  Doubt& doubt = doubts_[e.key];
   if (!known) {
-    e.doubt = Doubt{};
-    e.doubt->since = now;
-    e.doubt->until = now + scaled(s_.most_doubt);
-    e.doubt->incarnation = e.member.incarnation;
+    doubt = {};
+    doubt.since = now_;
+    doubt.until = now_ + (swim() ? kSwimDoubt : scaled(s_.most_doubt));
     ++counters_.suspicions;
-    set_state(now, e, State::kSuspect);
   }
-  if (accuser == key_) e.doubt->own = true;
-  auto& accusers = e.doubt->accusers;
-  if (accuser != 0 && std::find(accusers.begin(), accusers.end(), accuser) == accusers.end()) {
-    accusers.push_back(accuser);
+  auto& accusers = doubt.accusers;
+  const bool more = accuser != 0 && std::find(accusers.begin(), accusers.end(), accuser) == accusers.end();
+  if (more) accusers.push_back(accuser);
+  if (accuser == key_) {
+    doubt.own = true;
+    if (more) ++counters_.accusations;
+  }
+  if (!known) set_state(e, State::kSuspect, by);
+  // Each that confirms brings the end nearer (Lifeguard's logarithm).
+  if (more && !swim()) {
+    const double needed = std::max(2, needed_accusers());
+    const double part =
+        needed_accusers() == 1
+            ? 1
+            : std::min(1.0, std::log(static_cast<double>(accusers.size())) / std::log(needed));
+    doubt.until =
+        std::min(doubt.until, doubt.since + scaled(s_.most_doubt - (s_.most_doubt - s_.least_doubt) * part));
+  }
+  if (more && accusers.size() <= static_cast<std::size_t>(needed_accusers()) + 1) {
     Update u = update_of(e);
     u.accuser = accuser;
     tell(u);
-    // Each that confirms brings the end nearer (Lifeguard's logarithm).
-    const double needed = needed_accusers();
-    const double part =
-        std::min(1.0, std::log(static_cast<double>(accusers.size())) / std::log(std::max(2.0, needed)));
-    e.doubt->until = std::min(
-        e.doubt->until, e.doubt->since + scaled(s_.most_doubt - (s_.most_doubt - s_.least_doubt) * part));
   }
-  if (s_.plain_swim || accuser == key_) return;
-  if (now - e.member.reached_at < kVouchMemory * s_.period) return vouch(now, e, out);
-  if (!known && unit() * static_cast<double>(living_) < static_cast<double>(kConfirm))
-    begin_probe(now, e, out);
+  if (!shipped() || accuser == key_) return;
+  if (now_ - e.heard_at < kFreshContact * s_.period) return vouch(e);
+  if (known) return;
+  const double living = static_cast<double>(living_);
+  if (unit() * living < kNotices) vouch(e);
+  if (unit() * living < kConfirm) probe(e, Why::kLook);
 }
 
 // Tells a member that it is doubted: its refutation is worth more than this node's word.
-void Membership::vouch(double now, Entry& e, std::vector<Out>& out) {
-  send(now, e.member.address, make(Kind::kNews), out, e.member.key);
-}
+void Membership::vouch(const Entry& e) { reply(e.address, make(Kind::kNews), &e); }
 
 int Membership::needed_accusers() const {
-  if (s_.plain_swim) return 1;
+  if (!shipped()) return swim() ? 1 : s_.accusers;
   // Of three nodes two can say so; of two, one.
   return std::max(1, std::min(s_.accusers, static_cast<int>(living_) - 1));
 }
 
-void Membership::declare(double now, Entry& e, State state) {
+void Membership::declare(Entry& e) {
   ++counters_.deaths_declared;
-  set_state(now, e, state);
+  set_state(e, State::kDead, key_);
   tell(update_of(e));
 }
 
-void Membership::health(int by) { health_ = std::clamp(health_ + by, 0, s_.most_health); }
+void Membership::doubts() {
+  std::vector<Key> due;
+  for (const auto& [key, doubt] : doubts_) {
+    // The last look goes before the end, not behind it.
+    const double look = doubt.own && !doubt.last_look && shipped() ? scaled(s_.timeout) * kLookTimeouts : 0;
+    if (now_ >= std::max(doubt.until - look, quiet_until_)) due.push_back(key);
+  }
+  for (const Key key : due) {
+    Entry* e = table_.find(key);
+    const auto it = doubts_.find(key);
+    if (e == nullptr || it == doubts_.end() || e->state != State::kSuspect) continue;
+    Doubt& d = it->second;
+    if (!shipped()) {
+      declare(*e);
+      continue;
+    }
+    const bool enough = static_cast<int>(d.accusers.size()) >= needed_accusers();
+    // Only who has found out itself says so, and not before it has looked once more.
+    if (!d.own || !enough) {
+      if (now_ < d.until) continue;
+      // Where nobody confirms it and nobody refutes it for long, what this node has found has to do.
+      if (!d.own || now_ < d.since + scaled(s_.most_doubt) * 3) {
+        d.until = now_ + s_.period;
+        probe(*e, Why::kLook);
+        continue;
+      }
+    }
+    if (!d.last_look) {
+      d.last_look = true;
+      probe(*e, Why::kLook);
+      d.until = std::max(d.until, now_ + scaled(s_.timeout) * kLookTimeouts * 1.01);
+      continue;
+    }
+    if (now_ < d.until) continue;
+    if (e->heard_at > d.since && now_ - e->heard_at < kFreshContact * s_.period) {
+      d.last_look = false;
+      d.until = now_ + s_.period;
+      vouch(*e);
+      continue;
+    }
+    declare(*e);
+  }
+}
 
-void Membership::begin_probe(double now, Entry& e, std::vector<Out>& out) {
+void Membership::health(int by) {
+  if (!swim()) health_ = std::clamp(health_ + by, 0, s_.most_health);
+}
+
+// ------------------------------------------------------------ probes
+
+void Membership::probe(Entry& e, Why why, Address to) {
   for (const Probe& p : probes_) {
-    if (p.key == e.member.key) return;
+    if (p.key == e.key && (p.why == why || (p.why == Why::kLook && why == Why::kObserved))) return;
   }
+  // Guards the memory: more at a time is a flood of doubts.
+  if (probes_.size() >= (why == Why::kLook ? kMostLooks : kMostProbes)) return;
   Probe p;
-  p.key = e.member.key;
-  p.life = e.member.life;
+  p.key = e.key;
+  p.life = e.life;
+  p.to = to != 0 ? to : e.address;
+  p.why = why;
   p.seq = ++seq_;
-  p.began = p.next = now;
-  p.ends = now + scaled(s_.period * 0.9);
+  p.began = p.next = now_;
+  p.ends = now_ + (!shipped()              ? scaled(s_.period * kSwimProbe)
+                   : why == Why::kObserved ? scaled(s_.timeout) * kProbeTimeouts
+                                           : scaled(s_.timeout) * kLookTimeouts);
   probes_.push_back(p);
   ++counters_.probes;
-  step(now, probes_.back(), out);
-}
-
-void Membership::probe_next(double now, std::vector<Out>& out) {
-  for (std::size_t i = 0; i <= round_.size(); ++i) {
-    if (round_at_ >= round_.size()) {  // a new round in a new order
-      round_.clear();
-      for (const auto& [key, e] : entries_) {
-        if (!is_over(e.member.state)) round_.push_back(key);
-      }
-      for (std::size_t k = round_.size(); k > 1; --k) std::swap(round_[k - 1], round_[below(k)]);
-      round_at_ = 0;
-      if (round_.empty()) return;
-    }
-    Entry* e = entry(round_[round_at_++]);
-    if (e == nullptr || is_over(e->member.state)) continue;
-    return begin_probe(now, *e, out);
-  }
+  step(probes_.back());
 }
 
 // The next ping of a probe, or its requests to others.
-void Membership::step(double now, Probe& p, std::vector<Out>& out) {
-  Entry* e = entry(p.key);
+void Membership::step(Probe& p) {
+  const Entry* e = table_.find(p.key);
   if (e == nullptr) return;
-  const int pings = s_.plain_swim ? 1 : kPings;
+  const int pings = shipped() ? kPings : 1;
   if (p.sent < pings) {
     ++p.sent;
     Message ping = make(Kind::kPing);
     ping.seq = p.seq;
     ping.target = p.key;
     ping.target_life = p.life;
-    send(now, e->member.address, std::move(ping), out, p.key);
+    send(p.to, std::move(ping), e);
   }
-  if (p.sent >= std::min(2, pings) && !p.asked_others && now - p.began >= scaled(s_.timeout) * 0.99) {
-    p.asked_others = true;
-    std::vector<Key> others;
-    for (const auto& [key, o] : entries_) {
-      if (key != p.key && o.member.state == State::kAlive) others.push_back(key);
-    }
-    for (int i = 0; i < s_.indirect && !others.empty(); ++i) {
-      const std::size_t at = below(others.size());
-      Message ask = make(Kind::kPingReq);
-      ask.seq = p.seq;
-      ask.target = p.key;
-      ask.target_life = p.life;
-      Update where = update_of(*e);
-      where.accuser = 0;
-      if (where.state == State::kSuspect) where.state = State::kAlive;
-      ask.updates.push_back(where);
-      send(now, entry(others[at])->member.address, std::move(ask), out);
-      others[at] = others.back();
-      others.pop_back();
-    }
+  const bool may_ask = p.why == Why::kObserved || p.why == Why::kLook;
+  const double ask_at = p.began + (!shipped()            ? scaled(s_.timeout) * kSwimTimeouts
+                                   : p.why == Why::kLook ? 0
+                                                         : scaled(s_.timeout) * kAskAfter);
+  if (may_ask && !p.asked_others && now_ >= ask_at - 1e-6) ask_others(p, *e);
+  if (shipped()) {
+    p.next = p.sent < pings ? now_ + scaled(s_.timeout) : p.ends;
+  } else {
+    p.next = p.asked_others ? p.ends : ask_at;
   }
-  p.next = p.sent < pings || !p.asked_others ? now + scaled(s_.timeout) : p.ends;
 }
 
-void Membership::failed(double now, const Probe& p, std::vector<Out>& out) {
-  Entry* e = entry(p.key);
-  if (e == nullptr || e->member.life != p.life || is_over(e->member.state)) return;
+void Membership::ask_others(Probe& p, const Entry& e) {
+  p.asked_others = true;
+  std::vector<Key> asked;
+  for (int i = 0; i < s_.indirect * 4 && static_cast<int>(asked.size()) < s_.indirect; ++i) {
+    const Entry* other = random_living();
+    if (other == nullptr) return;
+    if (other->key == p.key || other->state != State::kAlive) continue;
+    if (std::find(asked.begin(), asked.end(), other->key) != asked.end()) continue;
+    asked.push_back(other->key);
+    Message ask = make(Kind::kPingReq);
+    ask.seq = p.seq;
+    ask.target = p.key;
+    ask.target_life = p.life;
+    Update where = update_of(e);
+    where.accuser = 0;
+    if (where.state == State::kSuspect) where.state = State::kAlive;
+    ask.updates.push_back(where);
+    send(other->address, std::move(ask));
+  }
+}
+
+void Membership::failed(const Probe& p) {
+  Entry* e = table_.find(p.key);
+  if (e == nullptr || e->life != p.life || is_over(e->state)) return;
+  if (p.why == Why::kMoved) return;
+  if (p.why == Why::kClaim) {  // who held the name does not answer: it is the other's
+    const auto it = claims_.find(p.key);
+    if (it == claims_.end()) return;
+    const Update u = it->second.update;
+    claims_.erase(it);
+    if (u.life > e->life) later_life(*e, u, u.key);
+    return;
+  }
   ++counters_.failed_probes;
   // Nobody has heard it either who was asked to help: it is this node that hears little (Lifeguard).
-  if (!s_.plain_swim && p.asked_others && !p.heard_others) health(1);
-  if (e->doubt) e->doubt->own = true;
-  if (now < quiet_until_ || (!s_.plain_swim && now < e->next_accusation)) return;
-  accuse(now, *e, key_, out);
+  if (p.asked_others && !p.heard_others && living_ > 2) health(1);
+  if (now_ < quiet_until_) return;
+  const auto hold = holds_.find(p.key);
+  if (shipped() && hold != holds_.end() && now_ < hold->second.until) return;
+  // What one probe finds may be chance: a second look, with others asked at once, comes before any word.
+  if (shipped() && p.why == Why::kObserved && e->state == State::kAlive) return probe(*e, Why::kLook);
+  accuse(*e, key_, key_);
 }
 
-void Membership::doubts(double now, std::vector<Out>& out) {
-  for (auto& [key, e] : entries_) {
-    if (e.member.state != State::kSuspect || !e.doubt) continue;
-    Doubt& d = *e.doubt;
-    const bool enough = static_cast<int>(d.accusers.size()) >= needed_accusers();
-    if (now < d.until || now < quiet_until_) continue;
-    if (s_.plain_swim) {
-      declare(now, e, State::kDead);
-      continue;
-    }
-    // Only who has found out itself says so, and not before it has looked once more.
-    if (!d.own || !enough) {
-      if (now < d.since + scaled(s_.most_doubt) * 2) {
-        begin_probe(now, e, out);
-        d.until = now + s_.period;
-        continue;
-      }
-      // Nobody confirms it and nobody refutes it: what this node knows is too little.
-      if (!d.own || now < d.since + scaled(s_.most_doubt) * 3) {
-        d.until = now + s_.period;
-        begin_probe(now, e, out);
-        continue;
+// The members on the rings, each once in a period.
+void Membership::next_observed() {
+  const std::size_t rings = observed_.size();
+  const std::size_t at = observed_at_++ % rings;
+  next_probe_ = now_ + scaled(s_.period) / static_cast<double>(rings);
+  const Key key = observed_[at];
+  // Two rings that name one member observe it once.
+  if (key == 0 || std::find(observed_.begin(), observed_.begin() + static_cast<std::ptrdiff_t>(at), key) !=
+                      observed_.begin() + static_cast<std::ptrdiff_t>(at)) {
+    return;
+  }
+  Entry* e = table_.find(key);
+  if (e != nullptr && e->state != State::kLeaving && !is_over(e->state)) probe(*e, Why::kObserved);
+}
+
+// All members in turn, in a new order each time (SWIM, section 4.3).
+void Membership::next_in_round() {
+  next_probe_ = now_ + scaled(s_.period);
+  for (std::size_t i = 0; i <= table_.size(); ++i) {
+    if (round_at_ >= round_.size()) {
+      round_.clear();
+      round_at_ = 0;
+      for (const Entry& e : table_) {
+        if (!is_over(e.state)) round_.push_back(e.key);
       }
+      if (round_.empty()) return;
+      for (std::size_t k = round_.size(); k > 1; --k) std::swap(round_[k - 1], round_[below(k)]);
     }
-    if (!d.last_look) {
-      d.last_look = true;
-      d.until = now + scaled(s_.period);
-      begin_probe(now, e, out);
-      continue;
-    }
-    if (now - e.member.reached_at < kVouchMemory * s_.period) {
-      d.last_look = false;
-      d.until = now + s_.period;
-      vouch(now, e, out);
-      continue;
-    }
-    declare(now, e, State::kDead);
+    Entry* e = table_.find(round_[round_at_++]);
+    if (e != nullptr && !is_over(e->state)) return probe(*e, Why::kObserved);
+  }
+}
+
+// ------------------------------------------------------------ datagrams
+
+void Membership::heard(Entry& e, Address from) {
+  if (is_over(e.state)) return;
+  if (from == e.address || e.address == 0 || !e.direct) {
+    e.address = from;
+    e.direct = true;
+    e.heard_at = now_;
+  } else {  // from elsewhere: it may have moved, or somebody repeats what it said
+    probe(e, Why::kMoved, from);
+  }
+}
+
+void Membership::answered(const Message& m, Address from) {
+  for (Relay& r : relays_) {
+    if (r.seq != m.seq || r.until < now_ || !m.reaches) continue;
+    Message ack = make(Kind::kAck);
+    ack.seq = r.their_seq;
+    ack.target = m.from;
+    ack.target_life = m.life;
+    reply(r.for_whom, std::move(ack));
+    r.until = 0;
+  }
+  const auto it =
+      std::find_if(probes_.begin(), probes_.end(), [&](const Probe& p) { return p.seq == m.seq; });
+  if (it == probes_.end()) return;
+  const Key reached = m.reaches ? m.from : m.target;
+  Entry* e = table_.find(reached);
+  if (reached != it->key || e == nullptr) return;
+  const Probe p = *it;
+  if (p.why == Why::kMoved && (!m.reaches || from != p.to)) return;
+  // An answer of another life says nothing of the one that was asked for.
+  if (p.why == Why::kClaim && (!m.reaches || m.life != p.life)) return;
+  established_ = true;
+  if (!m.reaches) {  // by way of another
+    auto& by = reached_[reached];
+    std::erase_if(
+        by, [&](const auto& r) { return r.first == m.from || r.second < now_ - kReachMemory * s_.period; });
+    if (by.size() < 16) by.emplace_back(m.from, now_);
+  }
+  // Late answers tell of this node more than of the other (Lifeguard).
+  if (now_ - p.began < scaled(s_.timeout)) health(-1);
+  probes_.erase(it);
+  if (p.why == Why::kMoved) {
+    e->address = from;
+    e->heard_at = now_;
+  } else if (p.why == Why::kClaim) {
+    const auto claim = claims_.find(reached);
+    if (claim == claims_.end()) return;
+    claim->second.refused = true;
+    claim->second.until = now_ + kClaimRefused;
+    ++counters_.twins;
+  } else if (e->state == State::kSuspect) {
+    vouch(*e);
   }
 }
 
 void Membership::message(double now, Address from, const Message& m, std::vector<Out>& out) {
-  if (!started_ || left_ || m.from == key_) {
-    if (m.from == key_ && m.life != life_ && from != s_.address) {
+  if (!started_ || left_ || refused_) return;
+  if (m.from == key_) {
+    if (m.life != life_ && from != s_.address) {
       ++counters_.twins;
-      // Two processes under one name: who has been here longer stays. Lives grow with time, so it has the
-      // smaller one.
-      if (m.life < life_) refused_ = true;
+      ++namesakes_;
     }
     return;
   }
-  // Who is taken for dead and speaks has to hear so.
-  const auto ended = last_life_.find(m.from);
-  if (ended != last_life_.end() && m.life <= ended->second) {
-    Update u;
-    u.key = m.from;
-    u.life = m.life;
-    u.state = State::kDead;
-    Message back = make(m.kind == Kind::kPing ? Kind::kAck : Kind::kNews);
-    back.seq = m.seq;
-    back.target = key_;
-    back.updates.push_back(u);
-    if (m.kind != Kind::kNews) send(now, from, std::move(back), out);
-    return;
+  begin(now, out);
+  if (m.life <= ended_life(m.from)) {
+    answer_the_ended(m, from);
+    return end();
+  }
+  if (m.kind == Kind::kTaken) {
+    if (m.target == key_ && !(m.target_life == life_)) {
+      if (taken_at_ < now - s_.patience / 2) taken_since_ = now;
+      taken_at_ = now;
+      ++namesakes_;
+      // Of two that have both been taken in, on two sides of a cut, the later life goes.
+      if ((!established_ || m.target_life < life_) && now - taken_since_ >= s_.patience) refused_ = true;
+    }
+    return end();
   }
-  if (entry(m.from) == nullptr || entry(m.from)->member.life < m.life) {
+  if (claimed(m, from)) return end();
+  Entry* e = table_.find(m.from);
+  if (e == nullptr || e->life < m.life) {
     Update u;
     u.key = m.from;
     u.life = m.life;
     u.address = from;
-    apply(now, u, m.from, out);
+    for (const Update& said : m.updates) {
+      if (said.key == m.from && said.life == m.life) u.identity = said.identity;
+    }
+    learn(u, m.from);
+    e = table_.find(m.from);
+  }
+  if (e == nullptr || e->life != m.life) return end();  // there is no room for it, or it is not believed
+  heard(*e, from);
+  const std::uint64_t floor = m.kind == Kind::kNews && m.target == key_ ? m.target_life : 0;
+  for (const Update& u : m.updates) {
+    if (u.key == key_) {
+      about_me(u, m.from, floor);
+    } else if (m.kind != Kind::kPingReq) {  // there it only says where the target is
+      learn(u, m.from);
+    }
+    if (left_ || refused_) return end();
   }
-  heard(now, m.from, m.life, from);
-  for (const Update& u : m.updates) apply(now, u, m.from, out);
-  if (learning_) next_sync_ = std::min(next_sync_, now + s_.learn_period);
   switch (m.kind) {
     case Kind::kPing: {
-      if (m.target != 0 && m.target != key_) return;  // for who had this address before
+      if (m.target != 0 && m.target != key_) break;  // for who had this address before
       Message ack = make(Kind::kAck);
       ack.seq = m.seq;
       ack.target = key_;
       ack.reaches = true;
-      send(now, from, std::move(ack), out, m.from);
+      reply(from, std::move(ack), table_.find(m.from));
       break;
     }
-    case Kind::kAck: {
-      for (Relay& r : relays_) {
-        if (r.seq != m.seq || r.until < now) continue;
-        Message ack = make(Kind::kAck);
-        ack.seq = r.their_seq;
-        ack.target = m.from;
-        ack.target_life = m.life;
-        send(now, r.for_whom, std::move(ack), out);
-        r.until = 0;
-      }
-      std::erase_if(relays_, [&](const Relay& r) { return r.until < now; });
-      const auto it =
-          std::find_if(probes_.begin(), probes_.end(), [&](const Probe& p) { return p.seq == m.seq; });
-      if (it == probes_.end()) break;
-      const Key reached = m.reaches ? m.from : m.target;
-      if (reached != it->key) break;
-      if (Entry* e = entry(reached); e != nullptr && !m.reaches) {  // by way of another
-        std::erase_if(e->reached, [&](const auto& r) {
-          return r.first == m.from || r.second < now - kReachMemory * s_.period;
-        });
-        e->reached.emplace_back(m.from, now);
-        e->member.reached_by = e->reached.size();
-      }
-      // Late answers tell of this node more than of the other (Lifeguard).
-      if (now - it->began < scaled(s_.timeout)) health(-1);
-      Entry* e = entry(reached);
-      if (e != nullptr && e->member.state == State::kSuspect) vouch(now, *e, out);
-      probes_.erase(it);
+    case Kind::kAck:
+      answered(m, from);
       break;
-    }
     case Kind::kPingReq: {
-      const Entry* e = entry(m.target);
-      const Address to = e != nullptr ? e->member.address : m.updates.empty() ? 0 : m.updates.front().address;
-      if (to == 0) break;
+      const Entry* target = table_.find(m.target);
+      const Address to = target != nullptr   ? target->address
+                         : m.updates.empty() ? 0
+                                             : m.updates.front().address;
       Message heard_it = make(Kind::kHeard);
       heard_it.seq = m.seq;
-      send(now, from, std::move(heard_it), out);
-      relays_.push_back({++seq_, m.seq, from, now + 2 * s_.period});
+      if (target != nullptr && !m.updates.empty() && target->life == m.target_life &&
+          target->incarnation > m.updates.front().incarnation) {
+        heard_it.updates.push_back(update_of(*target));  // it has refuted what the asker may believe
+      }
+      if (!reply(from, std::move(heard_it)) || to == 0) break;
+      if (relays_.size() >= 256) relays_.erase(relays_.begin());
+      relays_.push_back({++seq_, m.seq, from, now_ + 2 * s_.period});
       Message ping = make(Kind::kPing);
       ping.seq = relays_.back().seq;
       ping.target = m.target;
       ping.target_life = m.target_life;
-      send(now, to, std::move(ping), out, m.target);
+      reply(to, std::move(ping), target);
       break;
     }
-    case Kind::kSync: {
-      // What this node knows of those that the page names, where it knows better.
-      Message back = make(Kind::kNews);
-      for (const Update& u : m.updates) {
-        if (u.key == key_ || back.updates.size() + 1 > kUpdates) continue;
-        const Entry* e = entry(u.key);
-        if (e == nullptr) continue;
-        const Member& mine = e->member;
-        const bool better = mine.life > u.life ||
-                            (mine.life == u.life &&
-                             (mine.incarnation > u.incarnation || weight(mine.state) > weight(u.state)));
-        if (better) back.updates.push_back(update_of(*e));
-      }
-      if (!back.updates.empty() || m.target != 0) send(now, from, std::move(back), out);
-      if (m.target != 0) page(now, from, out);
+    case Kind::kAsk:
+      serve_page(m, from);
+      break;
+    case Kind::kPage:
+      take_page(m);
+      break;
+    case Kind::kDigest:
+      serve_digest(m, from);
       break;
-    }
     case Kind::kWhoIs: {
       Message back = make(Kind::kNews);
-      back.updates.push_back(self_update());
-      send(now, from, std::move(back), out);
+      back.updates.push_back(self_update(true));
+      reply(from, std::move(back));
       break;
     }
     case Kind::kHeard:
       for (Probe& p : probes_) p.heard_others = p.heard_others || p.seq == m.seq;
       break;
     case Kind::kNews:
+    case Kind::kTaken:
       break;
   }
-  if (Entry* e = entry(m.from);
-      e != nullptr && !e->member.described && now - e->asked_at > s_.period && !is_over(e->member.state)) {
-    e->asked_at = now;
-    send(now, from, make(Kind::kWhoIs), out);
-  }
-  plan(now);
+  end();
 }
 
-// A page of the table, one after another.
-void Membership::page(double now, Address to, std::vector<Out>& out) {
-  Message m = make(Kind::kSync);
-  auto it = entries_.lower_bound(page_at_);
-  for (std::size_t i = 0; i < kUpdates && i < entries_.size(); ++i) {
-    if (it == entries_.end()) it = entries_.begin();
-    m.updates.push_back(update_of(it->second));
-    ++it;
+// ------------------------------------------------------------ tables
+
+void Membership::serve_page(const Message& m, Address from) {
+  Message page = make(Kind::kPage);
+  page.seq = m.seq;
+  if (m.target <= 1) page.updates.push_back(self_update(true));
+  std::size_t bytes = bytes_of(page) + 8;  // `target` may get longer
+  std::size_t i = table_.from(m.target);
+  for (; i < table_.size(); ++i) {
+    const Entry& e = table_[i];
+    if (is_over(e.state) || e.key == m.from) continue;
+    Update u = update_of(e, true);
+    u.accuser = 0;
+    if (u.state == State::kSuspect) u.state = State::kAlive;
+    bytes += bytes_of(u);
+    if (bytes > kMostBytes || page.updates.size() >= kMostUpdates) break;
+    page.updates.push_back(std::move(u));
   }
-  page_at_ = it == entries_.end() ? 0 : it->first;
-  send(now, to, std::move(m), out);
+  page.target = i < table_.size() ? table_[i].key : 0;
+  if (!replies_.take(now_)) {
+    ++counters_.unsent;
+    return;
+  }
+  out_->push_back({from, std::move(page)});
 }
 
-void Membership::tick(double now, std::vector<Out>& out) {
-  if (!started_ || left_) {
-    next_ = std::numeric_limits<double>::infinity();
+// Its members have been learned like any news.
+void Membership::take_page(const Message& m) {
+  if (!page_out_ || m.seq != seq_at_page_) return;
+  page_out_ = false;
+  next_ask_ = now_ + 1 / kPages;
+  page_at_ = m.target;
+  if (m.target != 0) return;
+  // Where a whole pass has told of somebody new there may be more: another one is asked.
+  page_at_ = 1;
+  learning_ = std::exchange(learned_, false);
+  next_ask_ = now_ + (learning_ ? kPageWait * (0.5 + unit()) : 0);
+}
+
+void Membership::ask_page() {
+  if (living_ < 2) {
+    next_ask_ = now_ + kPageWait;
+    page_at_ = 1;
+    page_out_ = false;
+    learning_ = true;
+    for (int i = 0; i < 3 && !join_.empty(); ++i) {
+      Message ask = make(Kind::kAsk);
+      ask.target = 1;
+      ask.updates.push_back(self_update(true));
+      send(join_[below(join_.size())], std::move(ask));
+    }
     return;
   }
-  // Guards the others against a process that stood: what it was waiting for has come meanwhile, and lies
-  // unread.
-  if (!s_.plain_swim && now - std::max(last_tick_, next_) > s_.period) {
-    ++counters_.stood;
-    const double gap = now - std::max(last_tick_, next_);
-    probes_.clear();
-    relays_.clear();
-    quiet_until_ = now + 2 * s_.period;
-    health(2);
-    for (auto& [key, e] : entries_) {
-      if (e.doubt) {
-        e.doubt->until += gap;
-        e.doubt->since += gap;
-        e.doubt->last_look = false;
-      }
+  const Entry* e = random_living();
+  next_ask_ = now_ + kPageWait;
+  if (e == nullptr) return;
+  page_out_ = true;
+  seq_at_page_ = ++seq_;
+  Message ask = make(Kind::kAsk);
+  ask.seq = seq_at_page_;
+  ask.target = page_at_;
+  send(e->address, std::move(ask));
+}
+
+// A part of the table without identities, one after another: what two hold differently is found out, whatever
+// was lost.
+void Membership::digest() {
+  next_sync_ = now_ + s_.sync_period * (0.75 + unit() / 2);
+  const Entry* to = random_living();
+  if (to == nullptr || table_.size() == 0) return;
+  Message m = make(Kind::kDigest);
+  std::size_t bytes = bytes_of(m), i = table_.from(digest_at_);
+  std::size_t looked = 0;
+  for (; looked < table_.size(); ++looked, ++i) {
+    if (i >= table_.size()) i = 0;
+    if (table_[i].key == to->key) continue;
+    const Update u = update_of(table_[i]);
+    bytes += bytes_of(u);
+    if (bytes > kMostBytes || m.updates.size() >= kMostUpdates) break;
+    m.updates.push_back(u);
+  }
+  digest_at_ = i < table_.size() ? table_[i].key : 0;
+  send(to->address, std::move(m));
+}
+
+// What this node knows better of those that a part of a table names.
+void Membership::serve_digest(const Message& m, Address from) {
+  Message back = make(Kind::kNews);
+  std::size_t bytes = bytes_of(back);
+  for (const Update& u : m.updates) {
+    const Entry* e = table_.find(u.key);
+    if (e == nullptr) continue;
+    const bool better =
+        e->life > u.life ||
+        (e->life == u.life && (e->incarnation > u.incarnation ||
+                               (e->incarnation == u.incarnation && weight(e->state) > weight(u.state))));
+    if (!better) continue;
+    const Update mine = update_of(*e);
+    bytes += bytes_of(mine);
+    if (bytes > kMostBytes) break;
+    back.updates.push_back(mine);
+  }
+  if (!back.updates.empty()) reply(from, std::move(back));
+}
+
+// ------------------------------------------------------------ time
+
+// Guards the others against a process that stood: what it was waiting for has come meanwhile, and lies
+// unread.
+void Membership::wake(double gap) {
+  ++counters_.stood;
+  probes_.clear();
+  relays_.clear();
+  claims_.clear();
+  quiet_until_ = now_ + 2 * s_.period;
+  health(2);
+  for (auto& [key, doubt] : doubts_) {
+    doubt.until += gap;
+    doubt.since += gap;
+    doubt.last_look = false;
+  }
+  // Whether it is still taken for alive: several are asked at once.
+  for (int i = 0; i < 3; ++i) {
+    const Entry* e = random_living();
+    if (e != nullptr) probe(*table_.find(e->key), Why::kObserved);
+  }
+}
+
+void Membership::greet() {
+  next_greet_ = now_ + 1 / kGreetings;
+  const Address to = greet_.back();
+  greet_.pop_back();
+  Message m = make(Kind::kNews);
+  m.updates.push_back(self_update(true));
+  send(to, std::move(m));
+}
+
+// The dead, and addresses nobody is known at: halves of a cut find each other so.
+void Membership::seek() {
+  if (quick_seeks_ > 0) --quick_seeks_;
+  next_seek_ = now_ + (quick_seeks_ > 0 ? kQuickSeek : s_.seek_period * (0.75 + unit() / 2));
+  std::vector<Address> lost;
+  if (!dead_.empty()) {
+    if (const Entry* e = table_.find(dead_[below(dead_.size())])) lost.push_back(e->address);
+  }
+  for (int tries = 0; tries < 3 && !join_.empty(); ++tries) {
+    const Address a = join_[below(join_.size())];
+    if (std::none_of(table_.begin(), table_.end(), [a](const Entry& e) { return e.address == a; })) {
+      lost.push_back(a);
+      break;
     }
-    // Whether it is still taken for alive: several are asked at once.
-    int asked = 0;
-    for (auto& [key, e] : entries_) {
-      if (is_over(e.member.state) || ++asked > 3) continue;
-      begin_probe(now, e, out);
+  }
+  for (const Address to : lost) {
+    Message ask = make(Kind::kAsk);
+    ask.target = 1;
+    ask.updates.push_back(self_update(true));
+    send(to, std::move(ask));
+  }
+}
+
+// Asks those who they are of whom nothing but the key is known.
+void Membership::describe() {
+  for (int i = 0; i < 3 && !undescribed_.empty(); ++i) {
+    const std::size_t at = below(undescribed_.size());
+    const Entry* e = table_.find(undescribed_[at]);
+    if (e == nullptr || e->id || is_over(e->state)) {
+      undescribed_[at] = undescribed_.back();
+      undescribed_.pop_back();
+      continue;
     }
+    if (!spread_.take(now_)) return;
+    send(e->address, make(Kind::kWhoIs));
   }
+}
+
+void Membership::sweep() {
+  next_sweep_ = now_ + kSweep;
+  const auto old = [this](const Entry& e) { return is_over(e.state) && now_ - e.since > s_.forget_after; };
+  for (const Entry& e : table_) {
+    if (!old(e)) continue;
+    auto& [life, at] = forgotten_[e.key];
+    life = std::max(life, e.life);
+    at = now_;
+    std::erase(dead_, e.key);
+  }
+  table_.sweep(old);
+  std::erase_if(reached_, [this](const auto& r) {
+    return r.second.empty() || r.second.back().second < now_ - kReachMemory * s_.period;
+  });
+  std::erase_if(claims_, [this](const auto& c) { return c.second.refused && now_ > c.second.until; });
+  std::erase_if(holds_, [this](const auto& h) { return now_ > h.second.until + 10 * kLongestHold; });
+  if (forgotten_.size() > s_.most_members) {
+    std::erase_if(forgotten_, [this](const auto& f) { return now_ - f.second.second > kForgottenKept; });
+    if (forgotten_.size() > 4 * s_.most_members) forgotten_.clear();
+  }
+}
+
+void Membership::tick(double now, std::vector<Out>& out) {
+  if (!started_ || left_ || refused_) {
+    next_ = kNever;
+    return;
+  }
+  begin(now, out);
+  const double due = std::max(last_tick_, next_);
+  if (!swim() && now - due > s_.period) wake(now - due);
   last_tick_ = now;
   for (std::size_t i = 0; i < probes_.size();) {
     if (now >= probes_[i].ends) {
       const Probe over = probes_[i];
       probes_.erase(probes_.begin() + static_cast<std::ptrdiff_t>(i));
-      failed(now, over, out);
+      failed(over);
       continue;
     }
-    if (now >= probes_[i].next) step(now, probes_[i], out);
+    if (now >= probes_[i].next) step(probes_[i]);
     ++i;
   }
-  doubts(now, out);
-  if (now >= next_probe_) {
-    next_probe_ = now + scaled(s_.period);
-    probe_next(now, out);
-  }
+  doubts();
+  if (now >= next_probe_) shipped() ? next_observed() : next_in_round();
+  if (now >= next_ask_ && (learning_ || living_ < 2)) ask_page();
+  if (now >= next_greet_ && !greet_.empty()) greet();
   if (now >= next_news_) {
-    next_news_ = now + 1 / s_.news_per_s;
-    if (!news_.empty() && living_ > 1) {
-      std::vector<Key> all;
-      for (const auto& [key, e] : entries_) {
-        if (!is_over(e.member.state)) all.push_back(key);
-      }
-      if (!all.empty()) {
-        const Key to = all[below(all.size())];
-        send(now, entry(to)->member.address, make(Kind::kNews), out, to);
-      }
-    }
-  }
-  if (now >= next_join_ && living_ < 2) {  // nobody is known yet, or everybody is dead
-    next_join_ = now + s_.period;
-    for (int i = 0; i < 3 && !join_.empty(); ++i) {
-      Message ask = make(Kind::kSync);
-      ask.target = key_;  // asks for a page
-      ask.updates.push_back(self_update());
-      send(now, join_[below(join_.size())], std::move(ask), out);
+    next_news_ = now + 0.5;
+    describe();
+    if (!news_.empty()) {
+      const Entry* e = random_living();
+      if (e != nullptr && spread_.take(now)) send(e->address, make(Kind::kNews), e);
     }
   }
-  if (now >= next_seek_) {  // the dead, and addresses nobody is known at: halves of a cut find each other so
-    next_seek_ = now + s_.seek_period * (0.75 + unit() / 2);
-    std::vector<Address> lost;
-    for (const auto& [key, e] : entries_) {
-      if (e.member.state == State::kDead) lost.push_back(e.member.address);
-    }
-    for (const Address a : join_) {
-      if (std::none_of(entries_.begin(), entries_.end(),
-                       [a](const auto& x) { return x.second.member.address == a; })) {
-        lost.push_back(a);
-      }
-    }
-    if (!lost.empty()) {
-      Message ask = make(Kind::kSync);
-      ask.target = key_;
-      ask.updates.push_back(self_update());
-      send(now, lost[below(lost.size())], std::move(ask), out);
-    }
-  }
-  if (now >= next_sync_) {
-    next_sync_ = now + s_.sync_period * (0.75 + unit() / 2);
-    std::vector<Key> all;
-    for (const auto& [key, e] : entries_) {
-      if (!is_over(e.member.state)) all.push_back(key);
-    }
-    // Who learns of somebody new asks on: a fleet that starts together would hear of itself by news alone for
-    // minutes.
-    if (!all.empty() && learning_) {
-      Message ask = make(Kind::kSync);
-      ask.target = key_;
-      send(now, entry(all[below(all.size())])->member.address, std::move(ask), out);
-      next_sync_ = now + s_.learn_period;
-    } else if (!all.empty()) {
-      page(now, entry(all[below(all.size())])->member.address, out);
-    }
-    learning_ = false;
-  }
-  std::erase_if(entries_, [&](const auto& x) {
-    return is_over(x.second.member.state) && now - x.second.member.since > s_.forget_after;
-  });
-  plan(now);
+  if (now >= next_seek_) seek();
+  if (now >= next_sync_) digest();
+  if (now >= next_sweep_) sweep();
+  end();
 }
 
-void Membership::plan(double now) {
-  double next = std::min({next_probe_, next_news_, next_seek_, next_sync_});
-  if (living_ < 2) next = std::min(next, next_join_);
+void Membership::plan() {
+  double next = std::min({next_probe_, next_news_, next_seek_, next_sync_, next_sweep_});
+  if (learning_ || living_ < 2) next = std::min(next, next_ask_);
+  if (!greet_.empty()) next = std::min(next, next_greet_);
   for (const Probe& p : probes_) next = std::min({next, p.next, p.ends});
-  for (const auto& [key, e] : entries_) {
-    if (e.doubt && e.member.state == State::kSuspect)
-      next = std::min(next, std::max(e.doubt->until, quiet_until_));
+  for (const auto& [key, d] : doubts_) {
+    const double look = d.own && !d.last_look && shipped() ? scaled(s_.timeout) * kLookTimeouts : 0;
+    const bool enough = static_cast<int>(d.accusers.size()) >= needed_accusers();
+    next = std::min(next, std::max(d.until - (enough ? look : 0), quiet_until_));
   }
-  next_ = std::max(now, next);
+  next_ = std::max(now_, next);
+  if (refused_) next_ = kNever;
+}
+
+void Membership::leaving(double now, std::vector<Out>& out) {
+  if (left_ || refused_ || !started_ || state_ == State::kLeaving) return;
+  begin(now, out);
+  state_ = State::kLeaving;
+  tell(self_update(false));
+  end();
 }
 
 void Membership::leave(double now, std::vector<Out>& out) {
-  if (left_ || !started_) return;
-  left_ = true;
-  std::vector<Key> all;
-  for (const auto& [key, e] : entries_) {
-    if (!is_over(e.member.state)) all.push_back(key);
-  }
-  for (std::size_t i = 0; i < 6 && !all.empty(); ++i) {
-    const std::size_t at = below(all.size());
+  if (left_ || refused_ || !started_) return;
+  begin(now, out);
+  state_ = State::kLeft;
+  for (int i = 0; i < kToldRebirth; ++i) {
+    const Entry* e = random_living();
+    if (e == nullptr) break;
     Message m = make(Kind::kNews);
-    m.updates.push_back(self_update());
-    m.updates.back().identity.reset();
-    send(now, entry(all[at])->member.address, std::move(m), out);
-    all[at] = all.back();
-    all.pop_back();
+    m.updates.push_back(self_update(false));
+    send(e->address, std::move(m));
   }
-  next_ = std::numeric_limits<double>::infinity();
+  left_ = true;
+  next_ = kNever;
+  out_ = nullptr;
 }
 
 }  // namespace nettlestand::peers
--- a/peers/wire.cpp
+++ b/peers/wire.cpp
@@ -9,10 +9,10 @@
 namespace nettlestand::peers {
 namespace {
 
-constexpr std::size_t kSeal = crypto_generichash_BYTES_MIN;  // 16 bytes, BLAKE2b
-constexpr std::size_t kKey = crypto_generichash_KEYBYTES;    // 32 bytes
-constexpr std::size_t kMostUpdates = 8, kMostName = 32, kMostShort = 12;
-constexpr std::uint32_t kMostParts = 16;  // of an array: guards the memory of the reader
+constexpr std::size_t kSeal = kSealBytes;  // BLAKE2b
+static_assert(kSeal == crypto_generichash_BYTES_MIN);
+constexpr std::size_t kKey = crypto_generichash_KEYBYTES;  // 32 bytes
+constexpr std::uint32_t kMostParts = 16;                   // of an array: guards the memory of the reader
 
 std::string seal(std::string_view bytes, const std::string& key) {
   std::string out(kSeal, '\0');
@@ -61,10 +61,16 @@
 Wire::Wire(Cluster cluster)
     : cluster_(std::move(cluster)), cluster_id_(static_cast<std::uint32_t>(key_of(cluster_.name))) {
   if (sodium_init() < 0) throw std::runtime_error("libsodium can't start");
-  for (const std::string& key : cluster_.keys) {
+  keys(std::move(cluster_.keys));
+}
+
+void Wire::keys(std::vector<std::string> keys) {
+  for (const std::string& key : keys) {
     if (key.size() != kKey) throw std::invalid_argument("a cluster's key is not 32 bytes");
   }
-  if (cluster_.keys.empty()) cluster_.keys.emplace_back(kKey, '\0');  // then it is a checksum
+  sealed_ = !keys.empty();
+  if (!sealed_) keys.emplace_back(kKey, '\0');  // then it is a checksum
+  cluster_.keys = std::move(keys);
 }
 
 std::string Wire::encode(const Message& m) {
@@ -83,7 +89,7 @@
   out.pack(static_cast<std::uint8_t>(m.reaches));
   out.pack_array(static_cast<std::uint32_t>(m.updates.size()));
   for (const Update& u : m.updates) {
-    out.pack_array(u.identity ? 11 : 6);
+    out.pack_array(u.identity ? 12 : 6);
     out.pack(u.key);
     out.pack(u.life);
     out.pack(u.incarnation);
@@ -96,6 +102,7 @@
     out.pack(u.identity->region);
     out.pack(u.identity->version);
     out.pack(u.identity->tier);
+    out.pack(u.identity->number);
   }
   std::string bytes(buffer.data(), buffer.size());
   bytes += seal(bytes, cluster_.keys.front());
@@ -105,9 +112,17 @@
 }
 
 bool Wire::fresh(Key from, std::uint64_t life, std::uint64_t number) {
-  Heard& h = heard_[from];
-  if (life < h.life) return false;
-  if (life > h.life) h = {life, 0, 0};
+  auto it = heard_.find({from, life});
+  if (it == heard_.end()) {
+    // Guards the memory against keys and lives without end: who is not heard for long is forgotten.
+    if (heard_.size() >= kRemembered) {
+      before_ = std::move(heard_);
+      heard_.clear();
+    }
+    const auto old = before_.find({from, life});
+    it = heard_.emplace(std::pair(from, life), old == before_.end() ? Heard{} : old->second).first;
+  }
+  Heard& h = it->second;
   if (number > h.highest) {
     const std::uint64_t step = number - h.highest;
     h.below = step >= 64 ? 0 : h.below << step;
@@ -140,7 +155,7 @@
   std::uint64_t sent = 0;
   try {
     std::size_t at = 0;
-    const msgpack::unpack_limit limit(kMostParts, 0, kMostName, 0, 0, 4);
+    const msgpack::unpack_limit limit(kMostParts, 0, kLongestName, 0, 0, 4);
     const msgpack::object_handle handle =
         msgpack::unpack(body.data(), body.size(), at, nullptr, nullptr, limit);
     if (at != body.size()) return std::nullopt;
@@ -154,7 +169,7 @@
       return std::nullopt;
     }
     sent = number(part(o, 2), kAny);
-    m.kind = static_cast<Kind>(number(part(o, 3), static_cast<std::uint64_t>(Kind::kHeard)));
+    m.kind = static_cast<Kind>(number(part(o, 3), static_cast<std::uint64_t>(kLastKind)));
     m.seq = static_cast<std::uint32_t>(number(part(o, 4), 0xFFFFFFFF));
     m.from = number(part(o, 5), kAny);
     m.life = number(part(o, 6), kAny);
@@ -166,7 +181,7 @@
     if (updates.type != msgpack::type::ARRAY || updates.via.array.size > kMostUpdates) throw Bad{};
     for (std::uint32_t i = 0; i < updates.via.array.size; ++i) {
       const msgpack::object& x = part(updates, i);
-      if (x.type != msgpack::type::ARRAY || (x.via.array.size != 6 && x.via.array.size != 11)) throw Bad{};
+      if (x.type != msgpack::type::ARRAY || (x.via.array.size != 6 && x.via.array.size != 12)) throw Bad{};
       Update u;
       u.key = number(part(x, 0), kAny);
       u.life = number(part(x, 1), kAny);
@@ -175,15 +190,16 @@
       u.address = number(part(x, 4), kAny);
       u.accuser = number(part(x, 5), kAny);
       if (u.key == 0 || u.life == 0) throw Bad{};
-      if (x.via.array.size == 11) {
+      if (x.via.array.size == 12) {
         Identity id;
-        id.name = text(part(x, 6), 1, kMostName);
-        id.zone = text(part(x, 7), 0, kMostShort);
-        id.region = text(part(x, 8), 0, kMostShort);
-        id.version = text(part(x, 9), 0, kMostShort);
+        id.name = text(part(x, 6), 1, kLongestName);
+        id.zone = text(part(x, 7), 0, kLongestShort);
+        id.region = text(part(x, 8), 0, kLongestShort);
+        id.version = text(part(x, 9), 0, kLongestShort);
         id.tier = static_cast<std::uint8_t>(number(part(x, 10), 255));
+        id.number = static_cast<std::uint32_t>(number(part(x, 11), 0xFFFFFFFF));
         if (key_of(id.name) != u.key) throw Bad{};  // a name that is not the key's
-        u.identity = std::move(id);
+        u.identity = std::make_shared<const Identity>(std::move(id));
       }
       m.updates.push_back(std::move(u));
     }
--- a/peers/wire.h
+++ b/peers/wire.h
@@ -7,14 +7,14 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
-#include "peers/decide.h"
+#include "peers/member.h"
 
 namespace nettlestand::peers {
 
-constexpr std::size_t kMostBytes = 256;  // of a datagram, as the platform's protocol has it
-constexpr std::uint8_t kWireVersion = 1;
+constexpr std::uint8_t kWireVersion = 2;
 
 enum class Refusal {
   kNone,
@@ -33,28 +33,41 @@
       keys;  // 32 bytes each; the first seals, all are taken: a change of keys needs two for a while
 };
 
-// Not for two threads at once. One for a node's life.
+// Not for two threads at once. One for a process's life.
 class Wire {
  public:
+  // Lives of members whose datagrams are told apart from repeats: the least, and the double at the most.
+  static constexpr std::size_t kRemembered = 16384;
+
   // Throws std::invalid_argument for a key that is not 32 bytes long.
   explicit Wire(Cluster cluster);
 
   // Throws std::length_error where it would be over kMostBytes: a defect of the caller.
   std::string encode(const Message& message);
+  // Other keys from now on; what was heard stays heard. Throws as the constructor does, and changes nothing.
+  void keys(std::vector<std::string> keys);
+  bool sealed() const { return sealed_; }
   // The message, or none and `why`.
   std::optional<Message> decode(std::string_view bytes, Refusal& why);
 
  private:
-  // What was heard of one life: the highest number, and which of the 64 below it.
+  // What was heard of one life of one member: the highest number, and which of the 64 below it.
   struct Heard {
-    std::uint64_t life = 0, highest = 0, below = 0;
+    std::uint64_t highest = 0, below = 0;
+  };
+  struct Hash {
+    std::size_t operator()(const std::pair<Key, std::uint64_t>& of) const {
+      return static_cast<std::size_t>(of.first ^ (of.second * 0x9E3779B97F4A7C15ULL));
+    }
   };
+  using Window = std::unordered_map<std::pair<Key, std::uint64_t>, Heard, Hash>;
   bool fresh(Key from, std::uint64_t life, std::uint64_t number);
 
   Cluster cluster_;
   const std::uint32_t cluster_id_;
+  bool sealed_ = false;
   std::uint64_t sent_ = 0;
-  std::unordered_map<Key, Heard> heard_;
+  Window heard_, before_;  // those that were heard of late, and those not for longer
 };
 
 }  // namespace nettlestand::peers
--- a/tests/peers/decide_test.cpp
+++ b/tests/peers/decide_test.cpp
@@ -55,8 +55,8 @@
     fleet.start_all();
     EXPECT_TRUE(fleet.converge(60)) << count;
     EXPECT_EQ(fleet.deaths_declared(), 0U);
-    const Member* m = fleet.at(0).core.find(key_of("n1"));
-    ASSERT_NE(m, nullptr);
+    const auto m = fleet.at(0).core.find(key_of("n1"));
+    ASSERT_TRUE(m);
     EXPECT_EQ(m->id.name, "n1");
     EXPECT_EQ(m->id.zone, "z1");
     keeps_the_rules(fleet);
@@ -334,7 +334,8 @@
   u.state = State::kSuspect;
   m.updates.push_back(u);
   u.identity =
-      Identity{std::string(32, 'n'), std::string(12, 'z'), std::string(12, 'r'), std::string(12, 'v'), 255};
+      std::make_shared<const Identity>(Identity{std::string(32, 'n'), std::string(12, 'z'),
+                                                std::string(12, 'r'), std::string(12, 'v'), 255, 0xFFFFFFFF});
   m.updates.push_back(u);
   return m;
 }
--- a/tests/peers/fleet.h
+++ b/tests/peers/fleet.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "emulator/simulation.h"
+#include "peers/decide.h"
 #include "peers/wire.h"
 
 namespace nettlestand::peers::testing {
@@ -20,11 +21,13 @@
 };
 
 struct Node final : emulator::Actor {
-  Node(Settings settings, std::vector<Address> join, std::vector<Said>* said)
-      : core(std::move(settings)), wire({}), join(std::move(join)), said(said) {}
+  Node(Settings settings, std::vector<Address> join, std::vector<Said>* said,
+       const std::vector<Member>* known)
+      : core(std::move(settings)), wire({}), join(std::move(join)), said(said), known(known) {}
 
   void start(emulator::Context& c) override {
     std::vector<Membership::Out> out;
+    if (known != nullptr) core.adopt(c.now(), *known);
     core.start(c.now(), join, out);
     done(c, out);
   }
@@ -58,12 +61,13 @@
   Wire wire;
   std::vector<Address> join;
   std::vector<Said>* said;
+  const std::vector<Member>* known;
   std::uint64_t timers = 0, refused = 0;
 };
 
 struct Fleet {
   explicit Fleet(std::size_t count, std::uint64_t seed, Settings base = {}, std::size_t seeds = 3)
-      : sim(seed), base(std::move(base)) {
+      : sim(seed), seed(seed), base(std::move(base)) {
     for (std::size_t i = 0; i < count; ++i) add(seeds);
   }
 
@@ -80,8 +84,8 @@
           s.self.zone = "z" + std::to_string(who % 3);
           s.address = who + 1;
           s.life = (life + 1) << 20;
-          s.seed = who * 7919 + life + 1;
-          return std::make_unique<Node>(s, join, record ? &said : nullptr);
+          s.seed = (seed * 1000003 + who) * 7919 + life + 1;
+          return std::make_unique<Node>(s, join, record ? &said : nullptr, known.empty() ? nullptr : &known);
         },
         self % 2);
   }
@@ -92,8 +96,8 @@
 
   // How one node holds another.
   State view(emulator::ActorId of, emulator::ActorId whom) {
-    const Member* m = at(of).core.find(key_of(name(whom)));
-    return m == nullptr ? State::kLeft : m->state;
+    const auto m = at(of).core.find(key_of(name(whom)));
+    return m ? m->state : State::kLeft;
   }
   // Whether all that run hold exactly those for alive that run.
   bool converged() {
@@ -104,8 +108,8 @@
         if (!sim.alive(j)) continue;
         ++living;
         if (j == i) continue;
-        const Member* m = at(i).core.find(key_of(name(j)));
-        if (m == nullptr || m->state != State::kAlive || m->life != at(j).core.life()) return false;
+        const auto m = at(i).core.find(key_of(name(j)));
+        if (!m || m->state != State::kAlive || m->life != at(j).core.life()) return false;
       }
       if (at(i).core.living() != living) return false;
     }
@@ -129,8 +133,10 @@
   }
 
   emulator::Simulation sim;
+  const std::uint64_t seed;
   Settings base;
   bool record = true;
+  std::vector<Member> known;  // by all, from their start
   std::vector<Said> said;
 };
 
