--- a/emulator/fleet.cpp
+++ b/emulator/fleet.cpp
@@ -27,7 +27,8 @@
   kList,
   kAgain,
   kCrash,
-  kCopy
+  kCopy,
+  kFollow
 };
 
 struct Due {
@@ -218,6 +219,8 @@
         return arrive(next.a);
       case What::kCrash:
         return crash(spec_.faults[next.a]);
+      case What::kFollow:
+        return follow();
       case What::kCopy:
         return next.b == 0 ? begin(spec_.copy_faults[next.a]) : end(spec_.copy_faults[next.a]);
       case What::kFinish:
@@ -445,6 +448,18 @@
     }
   }
 
+  // As membership tells the living: by their place among them, and allowances by half of all at the least.
+  void follow() {
+    const auto lives = [](const CopyState& state) { return !state.dead; };
+    const int count = static_cast<int>(std::count_if(states_.begin(), states_.end(), lives));
+    int index = 0;
+    for (std::size_t i = 0; i < states_.size(); ++i) {
+      if (states_[i].dead) continue;
+      const double sharers = std::max<double>(count, static_cast<double>(states_.size()) / 2);
+      tell(i, qu::CopiesChanged{index++, count, sharers});
+    }
+  }
+
   void begin(const CopyFault& fault) {
     CopyState& state = states_[fault.copy];
     if (fault.kind == CopyFault::Kind::kPause) {
@@ -452,6 +467,7 @@
       return;
     }
     state.dead = true;
+    if (spec_.follow_after >= 0) at(now_ + spec_.follow_after, What::kFollow, 0, 0);
     state.died = now_;
     ++state.life;
     state.waiting.clear();
@@ -480,6 +496,7 @@
       return;
     }
     state.dead = false;
+    if (spec_.follow_after >= 0) at(now_ + spec_.follow_after, What::kFollow, 0, 0);
     copies_[fault.copy] = make_copy(fault.copy);
     meet_servers(fault.copy);
   }
--- a/emulator/fleet.h
+++ b/emulator/fleet.h
@@ -86,6 +86,8 @@
   std::vector<Fault> faults;
   std::vector<ListChange> changes;
   std::vector<CopyFault> copy_faults;
+  double follow_after =
+      -1;  // s after a copy's death, and its return, that the others split by who lives; below 0: never
   std::vector<double> speeds;  // of the first servers, 1 where absent
   std::size_t zones = 1;       // copies and servers are dealt out among them in turn
   double between_zones = 0;    // s, one way
--- a/lab/experiment.cpp
+++ b/lab/experiment.cpp
@@ -97,6 +97,7 @@
   out.work = fleet.ms("work_ms", out.work, 0.01, 10000);
   out.draw = fleet.text("work", out.draw, {"exponential", "uniform", "fixed"});
   out.between_zones = fleet.ms("between_zones_ms", 0, 0, 10000);
+  if (fleet.find("follow_ms") != nullptr) out.follow = fleet.ms("follow_ms", 0, 0, 600'000);
   out.max_attempts = fleet.whole("max_attempts", out.max_attempts, 1, 100);
   if (const toml::node* zones = fleet.find("zones")) {
     out.zones.clear();
--- a/lab/experiment.h
+++ b/lab/experiment.h
@@ -33,6 +33,9 @@
   std::vector<std::pair<double, double>> steps;  // at, factor of the load (the emulator alone)
   double start_capacity = 1, ramp_time = 0;
   int max_attempts = 4;
+  // s from a node's death until the others split by who lives; below 0: by the number they were told at their
+  // start. On processes it is membership's to find out, and only whether it is on counts.
+  double follow = -1;
   std::string script;  // standins/SCRIPT.md
 
   // Calls a second that the servers can do.
--- a/lab/play_emulated.cpp
+++ b/lab/play_emulated.cpp
@@ -87,6 +87,7 @@
   out.seconds = setup.seconds;
   out.count_from = setup.count_from;
   out.max_attempts = setup.max_attempts;
+  out.follow_after = setup.follow;
   out.start_capacity = setup.start_capacity;
   out.ramp_time = setup.ramp_time;
   out.tip_multiple = kEmulatedTip;
--- a/lab/play_processes.cpp
+++ b/lab/play_processes.cpp
@@ -37,6 +37,7 @@
   }
   out.node.stage = 0;  // callers reach it first, as the emulated ones
   out.node.attempts = setup.max_attempts;
+  out.peers = setup.follow >= 0;
   out.node.start_capacity = setup.start_capacity;
   out.node.ramp_time = setup.ramp_time;
   out.load.classes = {{"c", setup.effect == "safe" ? si::CallEffect::kSafe : si::CallEffect::kUnsafe, 1,
