--- a/tests/fuzz/run.sh
+++ b/tests/fuzz/run.sh
@@ -9,4 +9,4 @@
         peers/decide.cpp peers/member.cpp peers/wire.cpp tests/fuzz/peers_fuzz.cpp -lsodium -o "$build/peers_fuzz"
 c++ -std=c++20 -O1 -I. -Iinclude peers/member.cpp peers/wire.cpp tests/fuzz/peers_seeds.cpp -lsodium -o "$build/peers_seeds"
 "$build/peers_seeds" "$build/corpus"
-"$build/peers_fuzz" -seed=1 -runs="${1:-60000}" -max_len=1500 -timeout=10 -print_final_stats=1 "$build/corpus"
+"$build/peers_fuzz" -seed=1 -artifact_prefix="$build/" -runs="${1:-60000}" -max_len=1500 -timeout=10 -print_final_stats=1 "$build/corpus"
--- a/tests/peers/processes_test.cpp
+++ b/tests/peers/processes_test.cpp
@@ -378,6 +378,7 @@
   w.finish();
 }
 
+#ifdef SEAMS  // which are loaded before the program, where a sanitizer's library wants to be
 TEST(PeersProcesses, NothingDependsOnWallClocks) {
   WorldSettings s = asked_world(5);
   s.seams = SEAMS;
@@ -395,6 +396,7 @@
   UNTIL(agree(w, up_to(5)));
   w.finish();
 }
+#endif
 
 // ------------------------------------------------------------ who lies, floods or repeats
 
@@ -516,6 +518,52 @@
   std::remove(keys.c_str());
 }
 
+// ------------------------------------------------------------ planted faults
+
+#ifdef PLANTED
+struct Planted {
+  const char* fault;
+  const char* rule;
+  const char* script;
+};
+class PeersPlanted : public ::testing::TestWithParam<Planted> {};
+
+TEST_P(PeersPlanted, IsCaughtByItsRule) {
+  WorldSettings s = peers_world(6, 3);
+  s.binary = std::string(PLANTED) + GetParam().fault;
+  ProcessWorld w(s);
+  w.start();
+  w.play(GetParam().script, 13);
+  const Timeline t = w.finish();
+  EXPECT_NE(broken_rules(membership_rules(bounds()), t).find(std::string(GetParam().rule) + ": "),
+            std::string::npos)
+      << t.text([](const TimelineEntry& e) { return e.what.rfind("peers.", 0) == 0; });
+}
+
+TEST_P(PeersPlanted, IsNotSeenInTheProgramWithoutIt) {
+  bool is_void = false;
+  const std::string found = play_unstarved(3, is_void, [](Starvation& starvation) {
+    ProcessWorld w(peers_world(6, 3));
+    w.start();
+    w.play(GetParam().script, 13);
+    const Timeline t = w.finish();
+    starvation = w.starvation();
+    return broken_rules(membership_rules(bounds()), t);
+  });
+  if (!is_void) {
+    EXPECT_EQ(found, "");
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Peers, PeersPlanted,
+    ::testing::Values(Planted{"rash", "nobody is called dead that a quarter reaches",
+                              "at 0.5 nodes -> nodes: loss 0.4 for 12"},
+                      Planted{"silent", "a death is known to all that are connected", "at 7 n2: kill"},
+                      Planted{"ghosts", "no life comes back from the dead", "at 3 n2: pause for 4"}),
+    [](const ::testing::TestParamInfo<Planted>& info) { return std::string(info.param.fault); });
+#endif
+
 // ------------------------------------------------------------ many worlds under seeded scripts
 
 std::string random_script(std::uint64_t seed, std::size_t nodes) {
