--- a/peers/decide.cpp
+++ b/peers/decide.cpp
@@ -427,12 +427,17 @@
   ++living_;
   learned_ = true;
   changes_.push_back({member_of(e), State::kDead, true, from});
-  if (!e.id) undescribed_.push_back(e.key);
+  if (!e.id) want_identity(e.key);
   follow(e);
   tell(u);
   if (u.state == State::kSuspect) accuse(e, u.accuser, from);
 }
 
+// Guards the memory against lives without end of one that does not say who it is.
+void Membership::want_identity(Key key) {
+  if (undescribed_.size() <= table_.size()) undescribed_.push_back(key);
+}
+
 // The life that was known is over.
 void Membership::later_life(Entry& e, const Update& u, Key from) {
   if (!is_over(e.state)) set_state(e, State::kDead, from);
@@ -451,7 +456,7 @@
     if (u.state == State::kLeft) std::erase(dead_, u.key);
   } else {
     set_state(e, u.state == State::kLeaving ? State::kLeaving : State::kAlive, from);
-    if (!e.id) undescribed_.push_back(e.key);
+    if (!e.id) want_identity(e.key);
   }
   Update told = u;
   told.address = e.address;
--- a/peers/decide.h
+++ b/peers/decide.h
@@ -189,6 +189,7 @@
   void observe_anew();
   void learn(const Update& update, Key from);
   void learn_first(const Update& update, Key from);
+  void want_identity(Key key);
   void later_life(Entry& e, const Update& update, Key from);
   void about_me(const Update& update, Key from, std::uint64_t floor);
   void reborn(std::uint64_t floor);
