Test that nodes find each other by what reaches all at once, and leave by it

Need: peers_all was read and sent to, and nothing proved it. Two nodes whose lists lead nowhere find each other by it alone, and the goodbye arrives by it (0.7 s).

--- a/standins/world/node_process.cpp
+++ b/standins/world/node_process.cpp
@@ -67,6 +67,7 @@
     out << R"("peer_listen":")" << peer_listen << R"(","peers":[)";
     for (std::size_t i = 0; i < others.size(); ++i) out << (i > 0 ? "," : "") << '"' << others[i] << '"';
     out << "],";
+    if (!everyone.empty()) out << R"("peers_all":")" << everyone << R"(",)";
   }
   out << R"("settings":{"zone":)" << zone << R"(,"position":)" << position << R"(,"peersTotal":)" << peers
       << R"(,"stage":)" << stage << R"(,"registryMode":")" << (subscribe ? "subscribe" : "push")
--- a/standins/world/node_process.h
+++ b/standins/world/node_process.h
@@ -49,6 +49,7 @@
   double ask_within = 0.4, start_capacity = 1, ramp_time = 0;
   double over_share_worth = 1;
   std::string peer_listen;  // address of its socket for other nodes, where they may speak to each other
+  std::string everyone;     // an address that reaches all of them at once, or nothing
   std::vector<std::string>
       others;         // the nodes' addresses as it reaches them, in the order of their positions
   std::string known;  // a list in discovery's form, or nothing
--- a/tests/peers/processes_test.cpp
+++ b/tests/peers/processes_test.cpp
@@ -130,6 +130,26 @@
   w.finish();
 }
 
+// Their lists lead nowhere; what reaches all at once does.
+TEST(PeersProcesses, AreFoundByWhatReachesAllAtOnceAndTakeTheirLeaveByIt) {
+  ProcessWorld w(asked_world(2));
+  w.start();
+  std::vector<std::unique_ptr<NodeProcess>> nodes;
+  for (std::size_t i = 0; i < 2; ++i) {
+    w.end_node(i, SIGKILL);
+    NodeConfig config = w.config_of(i);
+    config.others[1 - i] = "127.0.0.1:9";
+    config.everyone = w.network().udp_all(w.machine(i), w.peer_port()).text();
+    nodes.push_back(std::make_unique<NodeProcess>(NODE, config, w.options_of(i)));
+  }
+  UNTIL(told(nodes[0]->log(), "member_alive", "n1") + told(nodes[0]->log(), "member_described", "n1") >= 1);
+  UNTIL(told(nodes[1]->log(), "member_alive", "n0") + told(nodes[1]->log(), "member_described", "n0") >= 1);
+  nodes[1]->signal(SIGTERM);
+  UNTIL(told(nodes[0]->log(), "member_left", "n1") == 1);
+  nodes.clear();
+  w.finish();
+}
+
 // ------------------------------------------------------------ processes that stand
 
 TEST(PeersProcesses, AShortPauseIsForgivenAndALongOneEndsInANewLife) {
