Call the dead that were leaving dead, and notice a stand by whatever comes first

Seen by reading, then by tests that failed: (1) a node killed after SIGTERM and before its goodbye stayed 'leaving' at all others for good, since next_observed() and accuse() passed over who is leaving; (2) a process that had stood and read a datagram before its timer did not notice the stand: message() ended in plan(), which moved next_ to now, and tick() measured the gap from there. Change: doubts go beside the state instead of being one of it, so who is leaving can be doubted, refutes as leaving, and dies; the stand is measured in begin(), before anything that comes. Counters say namesakes and contested names apart, and what nothing read is gone; one message introduces a node.

--- a/peers/decide.cpp
+++ b/peers/decide.cpp
@@ -80,6 +80,8 @@
 void Membership::begin(double now, std::vector<Out>& out) {
   now_ = now;
   out_ = &out;
+  // Whichever comes first after it, a datagram or the time.
+  if (!swim() && now - next_ > s_.period) wake(now - next_);
 }
 
 void Membership::end() {
@@ -95,7 +97,7 @@
   join(addresses);
   // Nodes that start together must not probe together.
   next_probe_ = now + s_.period * unit();
-  next_news_ = next_ask_ = next_greet_ = last_tick_ = next_ = now;
+  next_news_ = next_ask_ = next_greet_ = next_ = now;
   next_seek_ = now + s_.seek_period * (0.5 + unit());
   next_sync_ = now + s_.sync_period * unit();
   next_sweep_ = now + kSweep;
@@ -153,8 +155,8 @@
   return out;
 }
 
-Message Membership::hello() const {
-  Message out = make(Kind::kNews);
+Message Membership::hello(Kind kind) const {
+  Message out = make(kind);
   out.updates.push_back(self_update(true));
   return out;
 }
@@ -167,11 +169,10 @@
   out.state = e.state;
   out.address = e.address;
   if (with_identity) out.identity = e.id;
-  if (e.state == State::kSuspect) {
-    const auto it = doubts_.find(e.key);
-    if (it != doubts_.end()) {
-      out.accuser = it->second.own ? key_ : it->second.accusers.empty() ? 0 : it->second.accusers.front();
-    }
+  const auto it = doubts_.find(e.key);
+  if (it != doubts_.end()) {  // also of one that is leaving
+    out.state = State::kSuspect;
+    out.accuser = it->second.own ? key_ : it->second.accusers.empty() ? 0 : it->second.accusers.front();
   }
   return out;
 }
@@ -366,7 +367,6 @@
   }
   switch (u.state) {
     case State::kSuspect:
-      if (e->state == State::kLeaving) return;
       if (u.incarnation < e->incarnation) {  // who says so has missed the refutation
         if (u.accuser == from && shipped()) {
           if (const Entry* who = table_.find(from)) {
@@ -379,20 +379,24 @@
       }
       e->incarnation = u.incarnation;
       return accuse(*e, u.accuser, from);
-    case State::kAlive: {
-      if (u.incarnation <= e->incarnation) return;
-      e->incarnation = u.incarnation;
+    case State::kAlive:
+    case State::kLeaving: {
+      const bool refutes = u.incarnation > e->incarnation;
+      const bool goes = u.state == State::kLeaving && e->state != State::kLeaving;
+      if (!refutes && !goes) return;
+      e->incarnation = std::max(e->incarnation, u.incarnation);
       if (!e->direct && u.address != 0) e->address = u.address;
       const auto doubt = doubts_.find(u.key);
-      if (e->state == State::kSuspect) {
+      if (doubt != doubts_.end()) {
         // It lives, and this node could not reach it: what it finds next proves nothing new for a while.
-        if (doubt != doubts_.end() && doubt->second.own && shipped()) {
+        if (refutes && doubt->second.own && shipped()) {
           Hold& hold = holds_[u.key];
           hold.length = std::clamp(hold.length * 2, kFirstHold, kLongestHold);
           hold.until = now_ + hold.length;
         }
-        set_state(*e, State::kAlive, from);
+        doubts_.erase(doubt);
       }
+      set_state(*e, goes || e->state == State::kLeaving ? State::kLeaving : State::kAlive, from);
       return tell(u);
     }
     default:
@@ -477,8 +481,7 @@
   const bool elsewhere = u.life > life_ && !is_over(u.state) && u.address != 0 && u.address != s_.address;
   const bool answered = established_ && now_ - answered_at_ < kAnswered * s_.period;
   if (elsewhere || (std::max(u.life, floor) > life_ && answered)) {
-    ++namesakes_;
-    ++counters_.twins;
+    ++counters_.namesakes;
     return;
   }
   // A former self that a wrong clock had given a larger life.
@@ -593,15 +596,13 @@
 
 // Somebody has failed to reach a member. Who reaches it says so; some look for themselves, some tell it.
 void Membership::accuse(Entry& e, Key accuser, Key by) {
-  if (e.state == State::kLeaving || is_over(e.state)) return;
-  const bool known = e.state == State::kSuspect && doubts_.contains(e.key);
+  if (is_over(e.state)) return;
+  const bool known = doubts_.contains(e.key);
   Doubt& doubt = doubts_[e.key];
   if (!known) {
-    doubt = {};
     doubt.since = now_;
     doubt.until = now_ + (swim() ? kSwimDoubt : scaled(s_.most_doubt));
     doubt.look_at = shipped() ? now_ + s_.period * kOwnLook * (0.5 + unit() / 2) : kNever;
-    ++counters_.suspicions;
   }
   auto& accusers = doubt.accusers;
   const bool more = accuser != 0 && std::find(accusers.begin(), accusers.end(), accuser) == accusers.end();
@@ -610,7 +611,7 @@
     doubt.own = true;
     if (more) ++counters_.accusations;
   }
-  if (!known) set_state(e, State::kSuspect, by);
+  if (e.state == State::kAlive) set_state(e, State::kSuspect, by);  // who is leaving stays so until it is dead
   // Each that confirms brings the end nearer (Lifeguard's logarithm).
   if (more && !swim()) {
     const double needed = std::max(2, needed_accusers());
@@ -664,7 +665,7 @@
   for (const Key key : all) {
     Entry* e = table_.find(key);
     const auto it = doubts_.find(key);
-    if (e == nullptr || it == doubts_.end() || e->state != State::kSuspect) continue;
+    if (e == nullptr || it == doubts_.end() || is_over(e->state)) continue;
     Doubt& d = it->second;
     if (!shipped()) {
       declare(*e);
@@ -795,7 +796,7 @@
   const auto hold = holds_.find(p.key);
   if (shipped() && hold != holds_.end() && now_ < hold->second.until) return;
   // What one probe finds may be chance: a second look, with others asked at once, comes before any word.
-  if (shipped() && p.why == Why::kObserved && e->state == State::kAlive) return probe(*e, Why::kLook);
+  if (shipped() && p.why == Why::kObserved && !doubts_.contains(p.key)) return probe(*e, Why::kLook);
   accuse(*e, key_, key_);
 }
 
@@ -819,7 +820,7 @@
     return;
   }
   Entry* e = table_.find(key);
-  if (e != nullptr && e->state != State::kLeaving && !is_over(e->state)) probe(*e, Why::kObserved);
+  if (e != nullptr && !is_over(e->state)) probe(*e, Why::kObserved);
 }
 
 // All members in turn, in a new order each time (SWIM, section 4.3).
@@ -892,8 +893,8 @@
     if (claim == claims_.end()) return;
     claim->second.refused = true;
     claim->second.until = now_ + kClaimRefused;
-    ++counters_.twins;
-  } else if (e->state == State::kSuspect) {
+    ++counters_.contested;
+  } else if (doubts_.contains(reached)) {
     vouch(*e);
   }
 }
@@ -902,8 +903,7 @@
   if (!started_ || left_ || refused_) return;
   if (m.from == key_) {
     if (m.life != life_ && from != s_.address) {
-      ++counters_.twins;
-      ++namesakes_;
+      ++counters_.namesakes;
     }
     return;
   }
@@ -916,7 +916,7 @@
     if (m.target == key_ && !(m.target_life == life_)) {
       if (taken_at_ < now - s_.patience / 2) taken_since_ = now;
       taken_at_ = now;
-      ++namesakes_;
+      ++counters_.namesakes;
       // Of two that have both been taken in, on two sides of a cut, the later life goes.
       if ((!established_ || m.target_life < life_) && now - taken_since_ >= s_.patience) refused_ = true;
     }
@@ -989,12 +989,9 @@
     case Kind::kDigest:
       serve_digest(m, from);
       break;
-    case Kind::kWhoIs: {
-      Message back = make(Kind::kNews);
-      back.updates.push_back(self_update(true));
-      reply(from, std::move(back));
+    case Kind::kWhoIs:
+      reply(from, hello());
       break;
-    }
     case Kind::kHeard:
       for (Probe& p : probes_) p.heard_others = p.heard_others || p.seq == m.seq;
       break;
@@ -1018,17 +1015,13 @@
     if (is_over(e.state) || e.key == m.from) continue;
     Update u = update_of(e, true);
     u.accuser = 0;
-    if (u.state == State::kSuspect) u.state = State::kAlive;
+    u.state = e.state == State::kSuspect ? State::kAlive : e.state;
     bytes += bytes_of(u);
     if (bytes > kMostBytes || page.updates.size() >= kMostUpdates) break;
     page.updates.push_back(std::move(u));
   }
   page.target = i < table_.size() ? table_[i].key : 0;
-  if (!replies_.take(now_)) {
-    ++counters_.unsent;
-    return;
-  }
-  out_->push_back({from, std::move(page)});
+  reply(from, std::move(page));
 }
 
 // Its members have been learned like any news.
@@ -1051,9 +1044,8 @@
     page_out_ = false;
     learning_ = true;
     for (int i = 0; i < 3 && !join_.empty(); ++i) {
-      Message ask = make(Kind::kAsk);
+      Message ask = hello(Kind::kAsk);
       ask.target = 1;
-      ask.updates.push_back(self_update(true));
       send(join_[below(join_.size())], std::move(ask));
     }
     return;
@@ -1137,9 +1129,7 @@
   next_greet_ = now_ + 1 / kGreetings;
   const Address to = greet_.back();
   greet_.pop_back();
-  Message m = make(Kind::kNews);
-  m.updates.push_back(self_update(true));
-  send(to, std::move(m));
+  send(to, hello());
 }
 
 // The dead, and addresses nobody is known at: halves of a cut find each other so.
@@ -1158,9 +1148,8 @@
     }
   }
   for (const Address to : lost) {
-    Message ask = make(Kind::kAsk);
+    Message ask = hello(Kind::kAsk);
     ask.target = 1;
-    ask.updates.push_back(self_update(true));
     send(to, std::move(ask));
   }
 }
@@ -1208,9 +1197,6 @@
     return;
   }
   begin(now, out);
-  const double due = std::max(last_tick_, next_);
-  if (!swim() && now - due > s_.period) wake(now - due);
-  last_tick_ = now;
   for (std::size_t i = 0; i < probes_.size();) {
     if (now >= probes_[i].ends) {
       const Probe over = probes_[i];
--- a/peers/decide.h
+++ b/peers/decide.h
@@ -96,15 +96,15 @@
   // 0: well; more: this node is slow, or hears little.
   int health() const { return health_; }
   // What this node says of itself: a host that can reach all at once sends it to them at its start.
-  Message hello() const;
+  Message hello(Kind kind = Kind::kNews) const;
 
   struct Counters {
     std::uint64_t probes = 0, failed_probes = 0;
     std::uint64_t accusations = 0;  // of its own
-    std::uint64_t suspicions = 0;   // heard of or its own
     std::uint64_t refuted = 0, deaths_declared = 0, rebirths = 0;
     std::uint64_t stood = 0;       // times that this process noticed that it had stood
-    std::uint64_t twins = 0;       // times that another process was met under one name
+    std::uint64_t namesakes = 0;   // times that it was told of another process under its own name
+    std::uint64_t contested = 0;   // names of others that were found to be used by two
     std::uint64_t overflow = 0;    // members that there was no room for
     std::uint64_t unsent = 0;      // replies that the bound on them held back
     std::uint64_t incredible = 0;  // lives far beyond those that are known
@@ -112,8 +112,6 @@
   const Counters& counters() const { return counters_; }
   // Another process holds this name: this one has to stay out, and says nothing any more.
   bool refused() const { return refused_; }
-  // How often another process under this name was told of, and when last (s).
-  std::uint64_t namesakes() const { return namesakes_; }
 
  private:
   struct Doubt {
@@ -261,13 +259,12 @@
   int health_ = 0;
   double next_ = 0, next_probe_ = 0, next_news_ = 0, next_seek_ = 0, next_sync_ = 0, next_ask_ = 0,
          next_greet_ = 0, next_sweep_ = 0;
-  double last_tick_ = 0, quiet_until_ = 0, reborn_at_ = -1e18;
+  double quiet_until_ = 0, reborn_at_ = -1e18;
   int quick_seeks_ = 0;
   Key digest_at_ = 0, page_at_ = 1;
   bool page_out_ = false, learned_ = false, learning_ = true;
   bool urgent_ = false, left_ = false, refused_ = false, started_ = false, established_ = false;
   double taken_since_ = -1e18, taken_at_ = -1e18, answered_at_ = -1e18;
-  std::uint64_t namesakes_ = 0;
   Counters counters_;
 };
 
--- a/peers/service.cpp
+++ b/peers/service.cpp
@@ -343,7 +343,7 @@
   if (c.stood > std::exchange(told_stood_, c.stood)) {
     log_({LogLevel::kWarning, "peers", "stood", "this process stood: it accuses nobody for a while", {}});
   }
-  if (core_.namesakes() > std::exchange(told_namesakes_, core_.namesakes())) {
+  if (c.namesakes > std::exchange(told_namesakes_, c.namesakes)) {
     log_({LogLevel::kError,
           "peers",
           "namesake",
@@ -521,7 +521,8 @@
   number("deaths_declared", c.deaths_declared);
   number("rebirths", c.rebirths);
   number("stood", c.stood);
-  number("namesakes", core_.namesakes());
+  number("namesakes", c.namesakes);
+  number("contested", c.contested);
   number("no_room", c.overflow);
   number("incredible", c.incredible);
   number("held_back", c.unsent);
--- a/tests/peers/decide_test.cpp
+++ b/tests/peers/decide_test.cpp
@@ -107,6 +107,62 @@
   keeps_the_rules(fleet);
 }
 
+TEST(Peers, WhoDiesWhileItIsLeavingIsDeadAndNotLeavingForEver) {
+  Fleet fleet(10, 21);
+  fleet.sim.set_network(loss(0.02));
+  fleet.start_all();
+  ASSERT_TRUE(fleet.converge(60));
+  fleet.at(4).leaves = fleet.at(7).leaves = true;
+  fleet.sim.run_until(fleet.sim.now() + 3);
+  for (emulator::ActorId i = 0; i < 10; ++i) {
+    if (i != 4 && i != 7) {
+      EXPECT_EQ(fleet.view(i, 4), State::kLeaving);
+    }
+  }
+  fleet.sim.kill(4);
+  fleet.sim.run_until(fleet.sim.now() + 10);
+  for (emulator::ActorId i = 0; i < 10; ++i) {
+    if (i != 4 && i != 7) {
+      EXPECT_EQ(fleet.view(i, 4), State::kDead) << i;
+      EXPECT_EQ(fleet.view(i, 7), State::kLeaving) << "who only takes its time is not, " << i;
+    }
+  }
+  // Nor is it where nobody doubts it rightly: what is doubted says that it still leaves.
+  fleet.sim.set_network(loss(0.3));
+  fleet.sim.run_until(fleet.sim.now() + 300);
+  for (emulator::ActorId i = 0; i < 10; ++i) {
+    if (i != 4 && i != 7) {
+      EXPECT_EQ(fleet.view(i, 7), State::kLeaving) << i;
+    }
+  }
+  keeps_the_rules(fleet);
+}
+
+// Which of a socket and a timer is seen to first after a pause is the loop's to say.
+TEST(Peers, WhoStoodNoticesItAlsoWhenADatagramComesBeforeItsTimer) {
+  Settings s;
+  s.self.name = "a";
+  s.address = 1;
+  Membership a(s);
+  std::vector<Membership::Out> out;
+  a.start(0, {}, out);
+  Message hello;
+  hello.from = key_of("b");
+  hello.life = 1;
+  double now = 0;
+  for (int i = 0; i < 20; ++i) {
+    a.message(now, 2, hello, out);
+    while (a.next() <= now + 0.25) a.tick(now = a.next(), out);
+  }
+  ASSERT_EQ(a.counters().stood, 0U);
+  const std::uint64_t accused = a.counters().accusations;
+  a.message(now += 30, 2, hello, out);
+  EXPECT_EQ(a.counters().stood, 1U);
+  a.tick(now, out);
+  EXPECT_EQ(a.counters().stood, 1U) << "once";
+  EXPECT_EQ(a.counters().accusations, accused);
+}
+
 TEST(Peers, AShortPauseIsForgiven) {
   Fleet fleet(12, 4);
   fleet.sim.set_network(loss(0));
--- a/tests/peers/fleet.h
+++ b/tests/peers/fleet.h
@@ -45,6 +45,7 @@
   void timer(emulator::Context& c, std::uint64_t token) override {
     if (token != timers) return;  // an earlier one
     std::vector<Membership::Out> out;
+    if (leaves) core.leaving(c.now(), out);
     core.tick(c.now(), out);
     done(c, out);
   }
@@ -63,6 +64,7 @@
   std::vector<Said>* said;
   const std::vector<Member>* known;
   std::uint64_t timers = 0, refused = 0;
+  bool leaves = false;  // it says that it is about to go, at its next timer
 };
 
 struct Fleet {
