--- a/daemon/config.cpp
+++ b/daemon/config.cpp
@@ -7,7 +7,6 @@
 
 #include "discovery/lists.h"
 #include "json/read.h"
-#include "nettlestand/version.h"
 
 namespace nettlestand {
 namespace {
@@ -150,18 +149,10 @@
 
 void identify(Config& config) {
   if (!config.peers) return;
-  const auto cut = [](const std::string& text, std::size_t most) { return text.substr(0, most); };
-  peers::ServiceOptions& to = *config.peers;
-  peers::Identity& self = to.settings.self;
-  self.name = cut(config.name, peers::kLongestName);
-  const auto zone = static_cast<std::size_t>(config.settings.zone);
-  if (zone < config.zones.size()) self.zone = cut(config.zones[zone], peers::kLongestShort);
-  self.version = cut(NETTLESTAND_VERSION, peers::kLongestShort);
-  self.tier = static_cast<std::uint8_t>(std::min(config.settings.tier, 255));
-  self.number = static_cast<std::uint32_t>(config.settings.copy_index);
-  to.copies.index = config.settings.copy_index;
-  to.copies.count = config.settings.copy_count;
-  to.seed = config.seed;
+  const quinceusher::Settings& s = config.settings;
+  const auto zone = static_cast<std::size_t>(s.zone);
+  peers::identify(*config.peers, {config.name, zone < config.zones.size() ? config.zones[zone] : "", s.tier,
+                                  s.copy_index, s.copy_count, config.seed});
 }
 
 }  // namespace nettlestand
--- a/daemon/operator_file.cpp
+++ b/daemon/operator_file.cpp
@@ -372,11 +372,11 @@
     o.settings.patience = s.ms("patience_ms", o.settings.patience * 1000, 100, kHourMs);
     o.copies.hold_new = s.ms("hold_new_ms", o.copies.hold_new * 1000, 0, kHourMs);
     o.copies.hold_lost = s.ms("hold_lost_ms", o.copies.hold_lost * 1000, 0, kHourMs);
-    if (o.settings.timeout * 6 > o.settings.period) {
+    if (o.settings.timeout * pe::kPeriodTimeouts > o.settings.period) {
       s.wrong("timeout_ms",
               "is over a sixth of peers.period_ms, which is " + plain(o.settings.period * 1000));
     }
-    if (o.settings.least_doubt < o.settings.timeout * 4) {
+    if (o.settings.least_doubt < o.settings.timeout * pe::kDoubtTimeouts) {
       s.wrong("least_doubt_ms",
               "is under four times peers.timeout_ms, which is " + plain(o.settings.timeout * 1000));
     }
--- a/gateway/convert.cpp
+++ b/gateway/convert.cpp
@@ -8,7 +8,6 @@
 #include <utility>
 
 #include "http/answers.h"
-#include "nettlestand/version.h"
 #include "util/endpoint.h"
 
 namespace nettlestand {
@@ -106,16 +105,8 @@
   }
   to.cluster.name = m.cluster;
   to.follow = m.follow;
-  peers::Identity& self = to.settings.self;
-  self.name = m.name;
-  self.zone = options.zone;
-  self.region = m.region;
-  self.version = std::string(NETTLESTAND_VERSION).substr(0, peers::kLongestShort);
-  self.tier = static_cast<std::uint8_t>(std::clamp(options.tier, 0, 255));
-  self.number = static_cast<std::uint32_t>(std::max(0, options.position));
-  to.copies.index = options.position;
-  to.copies.count = options.peers;
-  to.seed = options.seed;
+  to.settings.self.region = m.region;
+  peers::identify(to, {m.name, options.zone, options.tier, options.position, options.peers, options.seed});
 }
 
 }  // namespace
--- a/peers/decide.cpp
+++ b/peers/decide.cpp
@@ -13,7 +13,8 @@
 constexpr int kAskAfter = 3;          // timeouts, until others are asked to try
 constexpr double kProbeTimeouts = 5;  // a probe's length; others have two of them to answer in
 constexpr double kLookTimeouts = 4;   // a second look's: others are asked at once
-constexpr double kSwimProbe = 0.9;    // of a period, in the styles that are for measurements
+static_assert(kPeriodTimeouts > kProbeTimeouts && kDoubtTimeouts >= kLookTimeouts);
+constexpr double kSwimProbe = 0.9;  // of a period, in the styles that are for measurements
 constexpr double kSwimTimeouts = 2;
 constexpr double kSwimDoubt = 4;     // s; plain SWIM's suspicion
 constexpr double kReachMemory = 4;   // periods for which a reach that was told of counts
@@ -63,12 +64,12 @@
   }
   if (s_.address == 0) throw std::invalid_argument("address: none");
   if (s_.life == 0) throw std::invalid_argument("life: from 1");
-  if (!(s_.period > 0) || !(s_.timeout > 0) || s_.timeout * (kProbeTimeouts + 1) > s_.period) {
+  if (!(s_.period > 0) || !(s_.timeout > 0) || s_.timeout * kPeriodTimeouts > s_.period) {
     throw std::invalid_argument("period and timeout: above 0, and a period holds six timeouts");
   }
   if (s_.rings < 1 || s_.rings > 8) throw std::invalid_argument("rings: 1 to 8");
   if (s_.indirect < 0 || s_.accusers < 1) throw std::invalid_argument("indirect from 0, accusers from 1");
-  if (!(s_.least_doubt >= s_.timeout * kLookTimeouts) || !(s_.most_doubt >= s_.least_doubt)) {
+  if (!(s_.least_doubt >= s_.timeout * kDoubtTimeouts) || !(s_.most_doubt >= s_.least_doubt)) {
     throw std::invalid_argument("least_doubt: four timeouts at least; most_doubt: no less");
   }
   if (!(s_.news_per_s >= 1) || !(s_.replies_per_s >= 1) || !(s_.seek_period > 0) || !(s_.sync_period > 0)) {
@@ -611,7 +612,8 @@
     doubt.own = true;
     if (more) ++counters_.accusations;
   }
-  if (e.state == State::kAlive) set_state(e, State::kSuspect, by);  // who is leaving stays so until it is dead
+  if (e.state == State::kAlive)
+    set_state(e, State::kSuspect, by);  // who is leaving stays so until it is dead
   // Each that confirms brings the end nearer (Lifeguard's logarithm).
   if (more && !swim()) {
     const double needed = std::max(2, needed_accusers());
--- a/peers/decide.h
+++ b/peers/decide.h
@@ -32,6 +32,9 @@
   kShipped
 };
 
+constexpr double kPeriodTimeouts = 6;  // timeouts that a period holds at the least,
+constexpr double kDoubtTimeouts = 4;   // and a doubt
+
 struct Settings {
   Identity self;
   Address address = 0;
--- a/peers/service.cpp
+++ b/peers/service.cpp
@@ -10,6 +10,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "nettlestand/version.h"
 #include "util/clock.h"
 
 namespace nettlestand::peers {
@@ -77,6 +78,18 @@
 
 }  // namespace
 
+void identify(ServiceOptions& options, const Place& place) {
+  Identity& self = options.settings.self;
+  self.name = place.name.substr(0, kLongestName);
+  self.zone = place.zone.substr(0, kLongestShort);
+  self.version = std::string(NETTLESTAND_VERSION).substr(0, kLongestShort);
+  self.tier = static_cast<std::uint8_t>(std::clamp(place.tier, 0, 255));
+  self.number = static_cast<std::uint32_t>(std::max(0, place.position));
+  options.copies.index = place.position;
+  options.copies.count = place.count;
+  options.seed = place.seed;
+}
+
 std::vector<std::string> read_keys(const std::string& text) {
   std::vector<std::string> out;
   int number = 0;
@@ -211,12 +224,16 @@
 
 // ------------------------------------------------------------ sending and taking
 
-void Service::send(const Endpoint& to, Message message) {
-  if (by_place()) {  // places beyond the list are this node's own numbers
-    for (Update& u : message.updates) {
-      if (u.address > options_.members.size()) u.address = 0;
-    }
+// Places beyond the list are one node's own numbers, and mean nothing to another.
+void Service::keep_listed(Message& message) const {
+  if (!by_place()) return;
+  for (Update& u : message.updates) {
+    if (u.address > options_.members.size()) u.address = 0;
   }
+}
+
+void Service::send(const Endpoint& to, Message message) {
+  keep_listed(message);
   const std::string bytes = wire_.encode(message);
   error_code error;
   socket_.send_to(asio::buffer(bytes), to, 0, error);
@@ -228,11 +245,15 @@
   counters_.bytes_sent += bytes.size();
 }
 
-void Service::deliver(std::vector<Membership::Out>& out) {
+void Service::send(std::vector<Membership::Out>& out) {
   for (Membership::Out& o : out) {
     if (const auto to = endpoint_of(o.to)) send(*to, std::move(o.message));
   }
   out.clear();
+}
+
+void Service::deliver(std::vector<Membership::Out>& out) {
+  send(out);
   follow_changes();
   arm();
 }
@@ -276,16 +297,9 @@
       ++counters_.strangers;
       continue;
     }
-    if (by_place()) {
-      for (Update& u : message->updates) {
-        if (u.address > options_.members.size()) u.address = 0;
-      }
-    }
+    keep_listed(*message);
     core_.message(at, address, *message, out);
-    for (Membership::Out& o : out) {
-      if (const auto to = endpoint_of(o.to)) send(*to, std::move(o.message));
-    }
-    out.clear();
+    send(out);
   }
   deliver(out);
 }
--- a/peers/service.h
+++ b/peers/service.h
@@ -36,6 +36,15 @@
   std::uint64_t seed = 1;
 };
 
+// Who this node is among others and which copy it is, where its configuration says so elsewhere. What is
+// longer than datagrams hold is cut.
+struct Place {
+  std::string name, zone;
+  int tier = 0, position = 0, count = 1;
+  std::uint64_t seed = 1;
+};
+void identify(ServiceOptions& options, const Place& place);
+
 // Throws std::runtime_error, with the line, for a file that is none: one or two keys, 64 hexadecimal digits
 // each, a line each; the first seals, both are taken. Lines that begin with # are comments.
 std::vector<std::string> read_keys(const std::string& text);
@@ -88,7 +97,9 @@
   void turn();
   void arm();
   void deliver(std::vector<Membership::Out>& out);
+  void keep_listed(Message& message) const;
   void send(const Endpoint& to, Message message);
+  void send(std::vector<Membership::Out>& out);
   void follow_changes();
   void tell(const Change& change);
   void tell_counts();
--- a/peers/table.h
+++ b/peers/table.h
@@ -21,6 +21,8 @@
   bool direct = false;  // the address is that of a datagram of this life
 };
 
+static_assert(sizeof(Entry) == 64);  // what the operators' page says of memory
+
 // Sorted by key. Pointers hold until the next insert() or sweep().
 class Table {
  public:
--- a/tests/config/command_line_test.cpp
+++ b/tests/config/command_line_test.cpp
@@ -1,4 +1,8 @@
 // The program's command line: what it starts, says, and ends with.
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+
 #include <sstream>
 
 #include "tests/forms/world.h"
@@ -34,6 +38,18 @@
   std::string path;
 };
 
+int free_udp_port() {
+  const int fd = ::socket(AF_INET, SOCK_DGRAM, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof at;
+  EXPECT_EQ(::bind(fd, reinterpret_cast<const sockaddr*>(&at), size), 0);
+  EXPECT_EQ(::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size), 0);
+  ::close(fd);
+  return ntohs(at.sin_port);
+}
+
 std::string file_for(int server_port) {
   return "[node]\nlisten = \"127.0.0.1:0\"\ntier = 1\n[[class]]\nname = \"close\"\neffect = "
          "\"unsafe\"\ndeadline_ms = 5000\n"
@@ -123,6 +139,51 @@
   EXPECT_EQ(node.exit_code(), 0);
 }
 
+// A node on a file with membership and a control socket, and what is asked of it there.
+TEST(CommandLine, ShowsTheMembersThatANodeKnows) {
+  const Peer server;
+  const std::string socket = ::testing::TempDir() + "/control_" + std::to_string(getpid());
+  const auto file = [&](const std::string& more) {
+    return file_for(server.port()) + more + "[control]\nsocket = \"" + socket + "\"\n";
+  };
+  const File good(file("[peers]\nlisten = \"127.0.0.1:" + std::to_string(free_udp_port()) +
+                       "\"\njoin = [\"127.0.0.1:9\"]\n"));
+  Ran ran = run("peers show --socket " + socket);
+  EXPECT_EQ(ran.code, 1);
+  EXPECT_TRUE(has(ran.out, socket + ": no node answers there")) << ran.out;
+  EXPECT_EQ(run("peers show").code, 2) << "which socket is not said";
+  {
+    Program node("", 1024, {"run", "--config", good.path}, false);
+    node.port();
+    struct stat is {};
+    ASSERT_EQ(::stat(socket.c_str(), &is), 0);
+    EXPECT_EQ(is.st_mode & 0777, 0600U) << "nobody but its owner may ask";
+    ran = run("peers show --socket " + socket);
+    EXPECT_EQ(ran.code, 0) << ran.out;
+    EXPECT_TRUE(has(ran.out, "nettlestand of nettlestand at 127.0.0.1:")) << ran.out;
+    EXPECT_TRUE(has(ran.out, ": 1 living, copy 0 of 1, not sealed, health 0\n")) << ran.out;
+    EXPECT_TRUE(has(ran.out, "\nnettlestand  alive")) << ran.out;
+    ran = run("peers show --json --socket " + socket);
+    EXPECT_EQ(ran.out.rfind("{\"name\":\"nettlestand\"", 0), 0U) << ran.out;
+    // The path is taken: another node does not start there, and the first one answers on.
+    Program second("", 1024, {"run", "--config", good.path}, false);
+    EXPECT_EQ(second.exit_code(), 1);
+    EXPECT_EQ(run("peers show --socket " + socket).code, 0);
+    node.signal(SIGKILL);
+    node.exit_code();
+  }
+  EXPECT_EQ(::access(socket.c_str(), F_OK), 0) << "left behind by the crash";
+  const File without(file(""));
+  Program node("", 1024, {"run", "--config", without.path}, false);  // takes its place
+  node.port();
+  ran = run("peers show --socket " + socket);
+  EXPECT_EQ(ran.code, 1);
+  EXPECT_TRUE(has(ran.out, "membership is off in this node")) << ran.out;
+  node.signal(SIGTERM);
+  EXPECT_EQ(node.exit_code(), 0);
+  EXPECT_NE(::access(socket.c_str(), F_OK), 0) << "an end in order takes it away";
+}
+
 // The platform's configuration rules; the file adds the listener's time limits to it.
 TEST(CommandLine, AddsAFileToThePlatforms) {
   World w;
