Decide who holds a duty: the lease table, the leader's keeper, the holder's guard

Some work must be done by one node at a time, and whatever a former holder still does must have no effect.

Change: duties/ begins with its deciding half, without I/O and clock: the replicated lease table with one growing token (table), what the leader among the voters decides about leases (keeper: renewals are confirmed behind a barrier, a new leader counts a whole lease from its own start), what a node holds and when it stops by itself (holding), the fence where effects land (fence). Not yet a part of the program.

--- /dev/null
+++ b/duties/table.h
@@ -0,0 +1,129 @@
+// Who holds which duty: the state that voters replicate. Commands in the order of their log go in, the same
+// at every voter; no I/O, no clock, no randomness. What it promises: a duty has one holder at the most, and
+// each grant has a token larger than all before it, over all duties. When a lease is over, and who is to have
+// it next, is decided beside it (keeper.h) and comes in as a command.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace nettlestand::duties {
+
+// Grows with each grant; 0: none. Whatever carries out an effect of a duty takes no lower one than it has
+// seen.
+using Token = std::uint64_t;
+
+constexpr std::size_t kLongestName = 64;  // bytes, of duties, nodes, zones and regions
+constexpr std::size_t kMostListed = 64;   // names in one list of a duty
+constexpr std::size_t kMostDuties = 4096;
+
+// A process that may hold duties: its name, and the life that tells it from its former selves.
+struct Node {
+  std::string name;
+  std::uint64_t life = 0;
+  std::string zone, region;
+  bool operator==(const Node&) const = default;
+  bool is(const Node& other) const { return name == other.name && life == other.life; }
+};
+
+struct Duty {
+  std::string name;
+  double length = 5;                // s; of a lease
+  std::vector<std::string> prefer;  // zones or regions, the best first
+  std::vector<std::string> apart;   // duties that are never to be on the same node
+  std::vector<std::string> never;   // nodes that may not hold it
+  bool operator==(const Duty&) const = default;
+};
+
+// Why a duty is where it is.
+enum class Cause : std::uint8_t {
+  kNew,        // it was never held
+  kAsked,      // granted to who asked
+  kGivenBack,  // its holder gave it back
+  kPassed,     // an operator had it passed on
+  kLapsed,     // its holder was not heard for a lease's length
+  kFailed      // its holder could not do it
+};
+const char* name_of(Cause cause);
+
+struct Lease {
+  Duty duty;
+  Token token = 0;             // of the last grant
+  std::optional<Node> holder;  // none: it is free
+  Cause cause = Cause::kNew;
+  std::string next;  // whom an operator wants it passed to, until somebody has it
+  bool operator==(const Lease&) const = default;
+};
+
+struct Command {
+  enum class Kind : std::uint8_t {
+    kDefine,   // `duty`, new or with other settings; who holds it keeps it
+    kRemove,   // `name`: it is nobody's, and forgotten
+    kGrant,    // `name` to `node`, if it is free and `token` is still that of the last grant
+    kRelease,  // `name` from who has `token`, for `cause`
+    kPass      // `name` to the node called `node.name`, once it is free
+  };
+  Kind kind = Kind::kGrant;
+  std::string name;
+  Duty duty;
+  Node node;
+  Token token = 0;
+  Cause cause = Cause::kNew;
+  bool operator==(const Command&) const = default;
+};
+
+enum class Refusal : std::uint8_t {
+  kNone,
+  kUnknown,  // no such duty
+  kHeld,     // somebody has it
+  kStale,    // the token is not that of the last grant
+  kNever,    // this node may not have it
+  kApart,    // this node has a duty that must be elsewhere
+  kBadName,  // a name or a list that is empty or too long, a length out of range
+  kTooMany
+};
+const char* name_of(Refusal refusal);
+
+struct Applied {
+  Refusal refusal = Refusal::kNone;
+  Token token = 0;  // of a grant
+  bool done() const { return refusal == Refusal::kNone; }
+};
+
+// What can't be read: bytes that are none of ours, or of another version.
+struct BadBytes : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+class Table {
+ public:
+  // Whether a command would do something, and why not. For whoever means to propose it.
+  Refusal check(const Command& command) const;
+  Applied apply(const Command& command);
+
+  const Lease* find(const std::string& duty) const;
+  const std::map<std::string, Lease>& leases() const { return leases_; }
+  Token last_token() const { return last_token_; }
+  std::uint64_t applied() const { return applied_; }
+  bool operator==(const Table&) const = default;
+
+  // The whole table as bytes, and back. Throws BadBytes, and changes nothing.
+  std::string snapshot() const;
+  void restore(std::string_view bytes);
+
+ private:
+  std::map<std::string, Lease> leases_;
+  Token last_token_ = 0;
+  std::uint64_t applied_ = 0;
+};
+
+// A command as bytes, and back. Throws BadBytes.
+std::string encode(const Command& command);
+Command decode(std::string_view bytes);
+
+}  // namespace nettlestand::duties
--- /dev/null
+++ b/tests/duties/model.h
@@ -0,0 +1,561 @@
+// Duties as a world of states and steps, for a model checker: nodes with clocks that run wrong, two voters of
+// which one can commit and the other may still believe so, and messages that come in any order, twice or
+// never. The deciding halves are the shipped ones; agreement itself is a log here.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "duties/fence.h"
+#include "duties/holding.h"
+#include "duties/keeper.h"
+
+namespace nettlestand::duties::testing {
+
+// What may be built in for the checker to find.
+struct Faults {
+  bool no_fence = false;      // effects take place whatever their token
+  bool wall_clock = false;    // leases by a clock that may be set back
+  bool lost_table = false;    // the voters may lose what they had agreed on
+  bool no_barrier = false;    // who believes that it leads confirms renewals alone
+  bool hasty_leader = false;  // a new leader takes all leases for as old as can be
+  bool no_drift = false;      // holders take clocks for exact
+};
+
+struct ModelSettings {
+  int nodes = 3;
+  std::vector<std::string> duties = {"a", "b"};
+  double length = 1, drift = 0.1;
+  // So that a few steps end between a lease's end by an exact clock and by the slowest one.
+  double time_step = 0.26;
+  std::size_t most_messages = 3;
+  bool crashes = true;
+  Faults faults;
+};
+
+class Model {
+ public:
+  explicit Model(const ModelSettings& settings) : s_(settings) {
+    for (int v = 0; v < 2; ++v) voters_.emplace_back(s_, v == 0 ? 1 + s_.drift : 1 - s_.drift);
+    for (const std::string& duty : s_.duties) {
+      Command c;
+      c.kind = Command::Kind::kDefine;
+      c.duty = {duty, s_.length, {}, {}, {}};
+      log_.push_back(c);
+    }
+    for (int n = 0; n < s_.nodes; ++n) nodes_.push_back(node(n, 1));
+    catch_up(0);
+    catch_up(1);
+    Keeper::Actions out;
+    voters_[0].keeper.lead(local(voters_[0]), out);
+    did(0, out);
+    for (int n = 0; n < s_.nodes; ++n) {
+      Holding::Actions wants;
+      for (const std::string& duty : s_.duties)
+        nodes_[static_cast<std::size_t>(n)].holding.want(local(n), duty, wants);
+      said(n, wants);
+    }
+  }
+  Model(const Model& other) { *this = other; }
+  Model& operator=(const Model& other) {
+    s_ = other.s_;
+    t_ = other.t_;
+    log_ = other.log_;
+    voters_ = other.voters_;
+    for (Voter& v : voters_) v.keeper.watch(v.table);
+    nodes_ = other.nodes_;
+    messages_ = other.messages_;
+    leader_ = other.leader_;
+    fence_ = other.fence_;
+    effects_ = other.effects_;
+    last_effect_ = other.last_effect_;
+    owners_ = other.owners_;
+    broken_ = other.broken_;
+    return *this;
+  }
+
+  // The steps that can be taken now, by number; step() takes one and says what it was.
+  std::size_t steps() const { return all_steps().size(); }
+  std::string step(std::size_t which) {
+    const Step s = all_steps().at(which);
+    std::string name = name_of(s);  // before the step: it names a message by its place
+    take(s);
+    check();
+    return name;
+  }
+  // A step by its name, for a story; false where it can't be taken now.
+  bool step(const std::string& name) {
+    const auto all = all_steps();
+    for (std::size_t i = 0; i < all.size(); ++i) {
+      if (name_of(all[i]) != name) continue;
+      step(i);
+      return true;
+    }
+    return false;
+  }
+  std::vector<std::string> names() const {
+    std::vector<std::string> out;
+    for (const Step& s : all_steps()) out.push_back(name_of(s));
+    return out;
+  }
+  // What is broken, or nothing.
+  const std::string& broken() const { return broken_; }
+  std::optional<int> holder(const std::string& duty) const {
+    for (int n = 0; n < s_.nodes; ++n) {
+      if (nodes_[static_cast<std::size_t>(n)].running && believes(n, duty)) return n;
+    }
+    return std::nullopt;
+  }
+  std::size_t effects() const { return effects_.size(); }
+  const Table& table() const { return voters_[static_cast<std::size_t>(leader_)].table; }
+
+  // Two worlds that say the same go on alike.
+  std::string key() const {
+    std::string out = std::to_string(leader_);
+    for (const Voter& v : voters_) {
+      out += "V" + std::to_string(log_.size() - v.applied);
+      v.keeper.describe(local(v), out);
+      for (const Item& i : v.pending)
+        out += i.barrier ? "b" + std::to_string(i.barrier) : "c" + encode(i.command);
+    }
+    out += table_key();
+    for (int n = 0; n < s_.nodes; ++n) {
+      const NodeState& node = nodes_[static_cast<std::size_t>(n)];
+      out += std::string("N") + (node.running ? "r" : "s") + std::to_string(node.life) + ";";
+      if (node.effect) out += node.effect->first + std::to_string(node.effect->second);
+      node.holding.describe(local(n), out);
+    }
+    for (const Message& m : messages_) out += "M" + text(m);
+    for (const std::string& duty : s_.duties) out += "F" + std::to_string(fence_.highest(duty));
+    return out;
+  }
+
+ private:
+  struct Item {
+    Command command;
+    std::uint64_t barrier = 0;  // or a command
+  };
+  struct Voter {
+    Voter(const ModelSettings& s, double rate) : keeper(table, settings(s)), rate(rate) {
+      keeper.watch(table);
+    }
+    Voter(const Voter& o)
+        : table(o.table), keeper(o.keeper), pending(o.pending), applied(o.applied), rate(o.rate) {
+      keeper.watch(table);
+    }
+    Voter& operator=(const Voter& o) {
+      table = o.table;
+      keeper = o.keeper;
+      keeper.watch(table);
+      pending = o.pending;
+      applied = o.applied;
+      rate = o.rate;
+      return *this;
+    }
+    static KeeperSettings settings(const ModelSettings& s) {
+      KeeperSettings out;
+      out.drift = s.drift;
+      out.ask_memory = 10;
+      out.prefer_wait = 0;
+      return out;
+    }
+    Table table;
+    Keeper keeper;
+    std::vector<Item> pending;
+    std::size_t applied = 0;
+    double rate = 1;
+  };
+  struct NodeState {
+    explicit NodeState(HoldingSettings s) : holding(std::move(s)) {}
+    Holding holding;
+    bool running = true;
+    std::uint64_t life = 1;
+    double rate = 1, offset = 0;
+    std::optional<std::pair<std::string, Token>> effect;  // checked, and not yet where it takes place
+  };
+  struct Message {
+    int node = 0;  // whose, or to whom
+    std::uint64_t life = 0;
+    std::optional<Request> request;
+    std::optional<Reply> reply;
+    bool copied = false;
+  };
+  struct Step {
+    enum class Kind {
+      kDeliver,
+      kDuplicate,
+      kDrop,
+      kCommit,
+      kElect,
+      kElectKeeping,
+      kDepose,
+      kStop,
+      kWake,
+      kCrash,
+      kCheck,
+      kLand,
+      kTime,
+      kSetBack,
+      kLoseTable
+    } kind;
+    int a = 0, b = 0;
+  };
+
+  NodeState node(int n, std::uint64_t life) const {
+    HoldingSettings h;
+    h.self = {"n" + std::to_string(n), life, "", ""};
+    h.drift = s_.faults.no_drift ? 0 : s_.drift;
+    h.ask_period = 0.5;
+    h.answer_patience = 0.4;
+    NodeState out(h);
+    out.life = life;
+    out.rate = n % 2 == 0 ? 1 - s_.drift : 1 + s_.drift;
+    return out;
+  }
+  double local(const Voter& v) const { return 10 + t_ * v.rate; }
+  double local(int n) const {
+    const NodeState& node = nodes_[static_cast<std::size_t>(n)];
+    return 10 + t_ * node.rate + node.offset;
+  }
+  bool believes(int n, const std::string& duty) const {
+    return nodes_[static_cast<std::size_t>(n)].holding.holds(local(n), duty).has_value();
+  }
+
+  void catch_up(std::size_t v) {
+    Voter& voter = voters_[v];
+    for (; voter.applied < log_.size(); ++voter.applied) {
+      const Command& c = log_[voter.applied];
+      const Applied result = voter.table.apply(c);
+      Keeper::Actions out;
+      voter.keeper.applied(local(voter), c, result, out);
+      did(v, out);
+    }
+  }
+  void did(std::size_t v, Keeper::Actions& out) {
+    for (Command& c : out.propose) voters_[v].pending.push_back({std::move(c), 0});
+    for (const std::uint64_t b : out.barriers) {
+      if (s_.faults.no_barrier) {
+        Keeper::Actions more;
+        voters_[v].keeper.barrier_done(local(voters_[v]), b, more);
+        did(v, more);
+      } else {
+        voters_[v].pending.push_back({{}, b});
+      }
+    }
+    for (Keeper::Answer& a : out.answers) {
+      const int n = static_cast<int>(a.to) - 1;
+      // Answers that change nothing would only fill the network.
+      if (n < 0 || a.reply.kind == Reply::Kind::kWaiting || a.reply.kind == Reply::Kind::kNotLeader) continue;
+      post({n, nodes_[static_cast<std::size_t>(n)].life, std::nullopt, a.reply, false});
+    }
+  }
+  void said(int n, Holding::Actions& out) {
+    for (Request& r : out.requests)
+      post({n, nodes_[static_cast<std::size_t>(n)].life, std::move(r), std::nullopt, false});
+    for (const Holding::Change& c : out.changes) {
+      if (!c.gained) continue;
+      const auto [it, fresh] =
+          owners_.try_emplace(c.token, std::pair(n, nodes_[static_cast<std::size_t>(n)].life));
+      if (!fresh && it->second != std::pair(n, nodes_[static_cast<std::size_t>(n)].life)) {
+        broken_ = "token " + std::to_string(c.token) + " has two holders";
+      }
+    }
+  }
+  // What there is no room for is lost.
+  void post(Message m) {
+    for (const Message& other : messages_) {
+      if (text(other) == text(m)) return;  // said again: one of them is enough, it may be doubled
+    }
+    if (messages_.size() < s_.most_messages) messages_.push_back(std::move(m));
+  }
+
+  std::vector<Step> all_steps() const {
+    std::vector<Step> out;
+    if (!broken_.empty()) return out;
+    using K = Step::Kind;
+    for (std::size_t m = 0; m < messages_.size(); ++m) {
+      const int i = static_cast<int>(m);
+      const Message& one = messages_[m];
+      if (one.request) {
+        for (int v = 0; v < 2; ++v) {
+          if (voters_[static_cast<std::size_t>(v)].keeper.leads()) out.push_back({K::kDeliver, i, v});
+        }
+      } else if (nodes_[static_cast<std::size_t>(one.node)].running) {
+        out.push_back({K::kDeliver, i, 0});
+        if (!one.copied) out.push_back({K::kDuplicate, i, 0});
+      }
+      out.push_back({K::kDrop, i, 0});
+    }
+    if (!voters_[static_cast<std::size_t>(leader_)].pending.empty()) out.push_back({K::kCommit, 0, 0});
+    if (!voters_[static_cast<std::size_t>(1 - leader_)].keeper.leads()) {
+      out.push_back({K::kElect, 0, 0});
+      if (!voters_[static_cast<std::size_t>(leader_)].pending.empty())
+        out.push_back({K::kElectKeeping, 0, 0});
+    } else {
+      out.push_back({K::kDepose, 0, 0});
+    }
+    for (int n = 0; n < s_.nodes; ++n) {
+      const NodeState& node = nodes_[static_cast<std::size_t>(n)];
+      if (node.running) {
+        if (node.effect) {
+          out.push_back({K::kLand, n, 0});
+        } else {
+          for (std::size_t d = 0; d < s_.duties.size(); ++d) {
+            if (believes(n, s_.duties[d])) out.push_back({K::kCheck, n, static_cast<int>(d)});
+          }
+        }
+        out.push_back({K::kStop, n, 0});
+        if (s_.crashes) out.push_back({K::kCrash, n, 0});
+        if (s_.faults.wall_clock && node.offset == 0) out.push_back({K::kSetBack, n, 0});
+      } else {
+        out.push_back({K::kWake, n, 0});
+      }
+    }
+    out.push_back({K::kTime, 0, 0});
+    if (s_.faults.lost_table) out.push_back({K::kLoseTable, 0, 0});
+    return out;
+  }
+
+  static std::string text(const Message& m) {
+    std::string out = std::to_string(m.node) + "." + std::to_string(m.life);
+    if (m.request) {
+      out += "?" + std::to_string(static_cast<int>(m.request->kind)) + m.request->duty +
+             std::to_string(m.request->token);
+      // Which of its renewals it is counts: each was sent at another time.
+      if (m.request->kind == Request::Kind::kRenew) out += "#" + std::to_string(m.request->seq);
+    } else {
+      out += "!" + std::to_string(static_cast<int>(m.reply->kind)) + m.reply->duty +
+             std::to_string(m.reply->token);
+      if (m.reply->kind == Reply::Kind::kRenewed) out += "#" + std::to_string(m.reply->seq);
+    }
+    return out;
+  }
+  std::string name_of(const Step& s) const {
+    const auto message = [&] { return text(messages_[static_cast<std::size_t>(s.a)]); };
+    const std::string n = "n" + std::to_string(s.a);
+    switch (s.kind) {
+      case Step::Kind::kDeliver:
+        return "deliver " + message() +
+               (messages_[static_cast<std::size_t>(s.a)].request ? " to v" + std::to_string(s.b) : "");
+      case Step::Kind::kDuplicate:
+        return "deliver and keep " + message();
+      case Step::Kind::kDrop:
+        return "drop " + message();
+      case Step::Kind::kCommit:
+        return "commit";
+      case Step::Kind::kElect:
+        return "elect";
+      case Step::Kind::kElectKeeping:
+        return "elect, keeping what was under way";
+      case Step::Kind::kDepose:
+        return "depose";
+      case Step::Kind::kStop:
+        return "stop " + n;
+      case Step::Kind::kWake:
+        return "wake " + n;
+      case Step::Kind::kCrash:
+        return "crash " + n;
+      case Step::Kind::kCheck:
+        return "check " + n + " " + s_.duties[static_cast<std::size_t>(s.b)];
+      case Step::Kind::kLand:
+        return "land " + n;
+      case Step::Kind::kTime:
+        return "time";
+      case Step::Kind::kSetBack:
+        return "set back " + n;
+      default:
+        return "lose table";
+    }
+  }
+
+  void take(const Step& s) {
+    const auto a = static_cast<std::size_t>(s.a);
+    switch (s.kind) {
+      case Step::Kind::kDeliver:
+      case Step::Kind::kDuplicate: {
+        Message m = messages_[a];
+        if (s.kind == Step::Kind::kDuplicate) {
+          messages_[a].copied = true;
+        } else {
+          messages_.erase(messages_.begin() + static_cast<std::ptrdiff_t>(a));
+        }
+        if (m.request) {
+          const auto v = static_cast<std::size_t>(s.b);
+          Keeper::Actions out;
+          voters_[v].keeper.request(local(voters_[v]), static_cast<Keeper::Client>(m.node) + 1, *m.request,
+                                    out);
+          did(v, out);
+        } else if (m.life == nodes_[static_cast<std::size_t>(m.node)].life) {
+          Holding::Actions out;
+          nodes_[static_cast<std::size_t>(m.node)].holding.reply(local(m.node), *m.reply, out);
+          said(m.node, out);
+        }
+        break;
+      }
+      case Step::Kind::kDrop:
+        messages_.erase(messages_.begin() + static_cast<std::ptrdiff_t>(a));
+        break;
+      case Step::Kind::kCommit: {
+        const auto v = static_cast<std::size_t>(leader_);
+        const Item item = voters_[v].pending.front();
+        voters_[v].pending.erase(voters_[v].pending.begin());
+        if (item.barrier != 0) {
+          Keeper::Actions out;
+          voters_[v].keeper.barrier_done(local(voters_[v]), item.barrier, out);
+          did(v, out);
+        } else {
+          log_.push_back(item.command);
+          catch_up(v);
+        }
+        break;
+      }
+      case Step::Kind::kElect:
+      case Step::Kind::kElectKeeping: {
+        const auto old = static_cast<std::size_t>(leader_);
+        if (s.kind == Step::Kind::kElectKeeping) {
+          for (const Item& i : voters_[old].pending) {
+            if (i.barrier == 0) log_.push_back(i.command);
+          }
+        }
+        // What the old one still has under way can't be committed any more; it does not know so.
+        leader_ = 1 - leader_;
+        const auto v = static_cast<std::size_t>(leader_);
+        voters_[v].pending.clear();
+        catch_up(v);
+        Keeper::Actions out;
+        voters_[v].keeper.lead(local(voters_[v]) - (s_.faults.hasty_leader ? 100 : 0), out);
+        did(v, out);
+        break;
+      }
+      case Step::Kind::kDepose: {
+        const auto v = static_cast<std::size_t>(1 - leader_);
+        Keeper::Actions out;
+        voters_[v].keeper.follow(out);
+        voters_[v].pending.clear();
+        did(v, out);
+        catch_up(v);
+        break;
+      }
+      case Step::Kind::kStop:
+        nodes_[a].running = false;
+        break;
+      case Step::Kind::kWake: {
+        nodes_[a].running = true;  // and its next step may come before it has looked at its clock
+        break;
+      }
+      case Step::Kind::kCrash: {
+        const std::uint64_t life = nodes_[a].life + 1;
+        const double offset = nodes_[a].offset;
+        nodes_[a] = node(s.a, life);
+        nodes_[a].offset = offset;
+        Holding::Actions out;
+        for (const std::string& duty : s_.duties) nodes_[a].holding.want(local(s.a), duty, out);
+        said(s.a, out);
+        break;
+      }
+      case Step::Kind::kCheck: {
+        const std::string& duty = s_.duties[static_cast<std::size_t>(s.b)];
+        nodes_[a].effect = {duty, *nodes_[a].holding.holds(local(s.a), duty)};
+        break;
+      }
+      case Step::Kind::kLand: {
+        const auto [duty, token] = *nodes_[a].effect;
+        nodes_[a].effect.reset();
+        if (!fence_.admit(duty, token) && !s_.faults.no_fence) break;
+        auto& last = last_effect_[duty];
+        if (token < last)
+          broken_ = "an effect of " + duty + " by token " + std::to_string(token) + " came after one by " +
+                    std::to_string(last);
+        last = std::max(last, token);
+        effects_.push_back(token);
+        break;
+      }
+      case Step::Kind::kTime:
+        t_ += s_.time_step;
+        for (int n = 0; n < s_.nodes; ++n) {
+          if (!nodes_[static_cast<std::size_t>(n)].running) continue;
+          Holding::Actions out;
+          nodes_[static_cast<std::size_t>(n)].holding.tick(local(n), out);
+          said(n, out);
+        }
+        for (std::size_t v = 0; v < 2; ++v) {
+          Keeper::Actions out;
+          voters_[v].keeper.tick(local(voters_[v]), out);
+          did(v, out);
+        }
+        break;
+      case Step::Kind::kSetBack:
+        nodes_[a].offset = -2;
+        break;
+      case Step::Kind::kLoseTable: {
+        std::vector<Command> defined;
+        for (const Command& c : log_) {
+          if (c.kind == Command::Kind::kDefine) defined.push_back(c);
+        }
+        log_ = defined;
+        for (Voter& v : voters_) {
+          Keeper::Actions out;
+          v.keeper.follow(out);
+          v.table = Table();
+          v.applied = 0;
+          v.pending.clear();
+        }
+        catch_up(static_cast<std::size_t>(leader_));
+        Voter& v = voters_[static_cast<std::size_t>(leader_)];
+        Keeper::Actions out;
+        v.keeper.lead(local(v), out);
+        did(static_cast<std::size_t>(leader_), out);
+        break;
+      }
+    }
+  }
+
+  void check() {
+    if (!broken_.empty()) return;
+    const Table& agreed = voters_[static_cast<std::size_t>(leader_)].table;
+    for (const std::string& duty : s_.duties) {
+      std::optional<int> first;
+      for (int n = 0; n < s_.nodes; ++n) {
+        if (!nodes_[static_cast<std::size_t>(n)].running || !believes(n, duty)) continue;
+        if (first) {
+          broken_ = "n" + std::to_string(*first) + " and n" + std::to_string(n) + " both hold " + duty;
+          return;
+        }
+        first = n;
+        const Lease* lease = agreed.find(duty);
+        const auto token = nodes_[static_cast<std::size_t>(n)].holding.holds(local(n), duty);
+        if (!s_.faults.lost_table && (lease == nullptr || !lease->holder || lease->token != *token)) {
+          broken_ = "n" + std::to_string(n) + " holds " + duty + " by token " + std::to_string(*token) +
+                    ", which the voters have taken from it";
+          return;
+        }
+      }
+    }
+  }
+
+  std::string table_key() const {
+    std::string out;
+    for (const auto& [name, lease] : table().leases()) {
+      out += "T" + name + std::to_string(lease.token) +
+             (lease.holder ? lease.holder->name + std::to_string(lease.holder->life) : "-");
+    }
+    return out + std::to_string(table().last_token());
+  }
+
+  ModelSettings s_;
+  double t_ = 0;  // true time, s
+  std::vector<Command> log_;
+  std::vector<Voter> voters_;
+  std::vector<NodeState> nodes_;
+  std::vector<Message> messages_;
+  int leader_ = 0;  // who can commit
+  Fence fence_;
+  std::map<std::string, Token> last_effect_;
+  std::vector<Token> effects_;
+  std::map<Token, std::pair<int, std::uint64_t>> owners_;
+  std::string broken_;
+};
+
+}  // namespace nettlestand::duties::testing
