--- a/duties/holding.cpp
+++ b/duties/holding.cpp
@@ -74,6 +74,16 @@
   return std::none_of(duties_.begin(), duties_.end(), [](const auto& d) { return d.second.token != 0; });
 }
 
+bool Holding::asks(const std::string& duty) const {
+  const auto it = duties_.find(duty);
+  return it != duties_.end() && it->second.state == State::kAsking;
+}
+
+void Holding::ask_soon(double now, const std::string& duty) {
+  const auto it = duties_.find(duty);
+  if (it != duties_.end()) it->second.next = std::min(it->second.next, now + s_.ask_period / 10);
+}
+
 void Holding::stop(const std::string& duty, One& one, Lost why, Actions& out) {
   if (one.state == State::kHeld) out.changes.push_back({duty, one.token, false, why});
   one.until = -1e18;
--- a/duties/holding.h
+++ b/duties/holding.h
@@ -69,6 +69,10 @@
   void describe(double now, std::string& out) const;
   // Everything given back has been heard of.
   bool idle() const;
+  // It is asking for it, and does not have it.
+  bool asks(const std::string& duty) const;
+  // What kept it from having it is being mended: it asks again shortly.
+  void ask_soon(double now, const std::string& duty);
 
  private:
   enum class State : std::uint8_t { kAsking, kTaking, kHeld, kReturning, kResting };
--- a/duties/keeper.cpp
+++ b/duties/keeper.cpp
@@ -11,20 +11,12 @@
 
 constexpr double kNever = std::numeric_limits<double>::infinity();
 
-Reply reply_to(const Request& r, Reply::Kind kind, Token token = 0) {
-  Reply out;
-  out.kind = kind;
-  out.seq = r.seq;
-  out.duty = r.duty;
-  out.token = token;
-  return out;
-}
-
 }  // namespace
 
 Keeper::Keeper(const Table& table, KeeperSettings settings) : table_(&table), s_(settings) {
   if (!(s_.drift >= 0 && s_.drift <= 0.2)) throw std::invalid_argument("drift: 0 to 0.2");
-  if (!(s_.ask_memory > 0) || !(s_.prefer_wait >= 0) || !(s_.propose_patience > 0)) {
+  if (!(s_.ask_memory > 0) || !(s_.prefer_wait >= 0) || !(s_.propose_patience > 0) ||
+      !(s_.take_patience > 0)) {
     throw std::invalid_argument("times: above 0");
   }
 }
@@ -72,6 +64,8 @@
 
 // Until then nobody else may be granted it.
 double Keeper::lapses(const Lease& lease, const Watched& watched) const {
+  // Who was granted it may be gone: it is held only from a confirmed renewal on, and none was confirmed.
+  if (watched.untaken) return watched.since + std::min(s_.take_patience, lease.duty.length);
   return watched.since + lease.duty.length * (1 + s_.drift);
 }
 
@@ -256,6 +250,7 @@
     ++counters_.granted;
     watched.since = now;
     watched.ending = false;
+    watched.untaken = true;
     watched.holder = 0;
     const auto asker = watched.askers.find(c.node.name);
     if (asker != watched.askers.end() && asker->second.node.is(c.node)) {
@@ -303,6 +298,7 @@
       continue;
     }
     watched->second.since = std::max(watched->second.since, r.at);
+    watched->second.untaken = false;
     Reply reply = reply_to(r.request, Reply::Kind::kRenewed, r.request.token);
     reply.length = lease->duty.length;
     out.answers.push_back({r.client, reply});
@@ -345,7 +341,8 @@
   };
   out += leads_ ? "L" : "F";
   for (const auto& [name, watched] : watched_) {
-    out += name + (watched.ending ? "e" : "-") + std::to_string(watched.holder) + ";";
+    out += name + (watched.ending ? "e" : "-") + (watched.untaken ? "u" : "-") +
+           std::to_string(watched.holder) + ";";
     put(watched.since);
     put(watched.proposed);
     for (const auto& [node, asker] : watched.askers) {
--- a/duties/keeper.h
+++ b/duties/keeper.h
@@ -23,10 +23,11 @@
 namespace nettlestand::duties {
 
 struct KeeperSettings {
-  double drift = 0.01;             // bound on the error of clocks' rates, 0 to 0.2
-  double ask_memory = 2.5;         // s for which an ask counts
-  double prefer_wait = 0.5;        // s that a free duty waits for one that is preferred to ask
-  double propose_patience = 3;     // s until a proposal that is not heard of may be made again
+  double drift = 0.01;          // bound on the error of clocks' rates, 0 to 0.2
+  double ask_memory = 2.5;      // s for which an ask counts
+  double prefer_wait = 0.5;     // s that a free duty waits for one that is preferred to ask
+  double propose_patience = 3;  // s until a proposal that is not heard of may be made again
+  double take_patience = 1;     // s for who was granted a duty to say so; nothing was confirmed to it before
   std::size_t most_askers = 4096;  // for one duty
 };
 
@@ -84,7 +85,9 @@
     double since = 0;         // s; the holder is known to have been well then; or when it became free
     double proposed = -1e18;  // s; a grant or a release is under way since
     bool ending = false;      // it is a release: nothing is confirmed any more
-    Client holder = 0;        // who renewed it last
+    // This leader granted it, and has confirmed nothing since: nobody believes that it holds it.
+    bool untaken = false;
+    Client holder = 0;                    // who renewed it last
     std::map<std::string, Asker> askers;  // by node's name
   };
   struct Renewal {
--- a/duties/messages.h
+++ b/duties/messages.h
@@ -1,8 +1,9 @@
-// What nodes and the leader among the voters say to each other about duties. Values alone.
+// What nodes and voters say to each other about duties. Values alone; wire.h has them as bytes.
 #pragma once
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "duties/table.h"
 
@@ -10,12 +11,18 @@
 
 struct Request {
   enum class Kind : std::uint8_t {
-    kAsk,       // I would have it; repeated while that is so
-    kRenew,     // I have it by `token`, and go on
-    kGiveBack,  // I have stopped, and want it no more for now; `failed`: I could not do it
-    kPass,      // an operator: it is to go to `to`
-    kDefine,    // an operator: `settings`
-    kRemove     // an operator
+    kAsk,          // I would have it; repeated while that is so
+    kRenew,        // I have it by `token`, and go on
+    kGiveBack,     // I have stopped, and want it no more for now; `failed`: I could not do it
+    kPass,         // an operator: it is to go to the node called `to`, or to any other where that is empty
+    kDefine,       // an operator, or a node whose file names a duty that is not there: `settings`
+    kRemove,       // an operator: the duty is to be forgotten
+    kShow,         // an operator: all duties, as JSON
+    kVoters,       // an operator: who votes, as JSON
+    kAddVoter,     // an operator: the voter called `to`, at the address `text` (or as files name it)
+    kRemoveVoter,  // an operator: the voter called `to`
+    kKeep,         // `text` is this node's newest word on its service; the leader keeps the last of each node
+    kGather        // what all nodes had kept, a reply each, and a last one
   };
   Kind kind = Kind::kAsk;
   std::uint64_t seq = 0;  // of its sender; the reply has it too
@@ -23,9 +30,10 @@
   std::string duty;
   Token token = 0;
   bool failed = false;
-  std::string to;
+  std::string to, text;
   Duty settings;
 };
+constexpr auto kLastRequest = Request::Kind::kGather;
 
 struct Reply {
   enum class Kind : std::uint8_t {
@@ -34,10 +42,11 @@
     kRenewed,    // it is yours for `length` from when you sent this renewal
     kLost,       // it is not yours (any more)
     kHandOver,   // an operator wants it elsewhere: stop, and give it back
-    kDone,       // given back; an operator's word is in the log
-    kRefused,    // never: see `why`
-    kNotLeader,  // ask another voter
-    kBusy        // not now: the log is not getting on
+    kDone,       // given back; an operator's word is in the log; all has been told
+    kRefused,    // never: see `why` and `text`
+    kNotLeader,  // ask another voter; `text` is the leader's name, if that is known
+    kBusy,       // not now: the log is not getting on
+    kText        // what was asked for
   };
   Kind kind = Kind::kWaiting;
   std::uint64_t seq = 0;  // 0: not asked for
@@ -45,6 +54,43 @@
   Token token = 0;
   double length = 0;  // s
   Refusal why = Refusal::kNone;
+  std::string text;
 };
+constexpr auto kLastReply = Reply::Kind::kText;
+
+inline Reply reply_to(const Request& r, Reply::Kind kind, Token token = 0) {
+  Reply out;
+  out.kind = kind;
+  out.seq = r.seq;
+  out.duty = r.duty;
+  out.token = token;
+  return out;
+}
+
+// What goes over one connection.
+struct Frame {
+  enum class Kind : std::uint8_t {
+    kHello,     // the first one each way: who is there, and a nonce that seals what comes back
+    kPing,      // is answered with one more, `number` one higher than an even one
+    kRequests,  // from a node
+    kReplies,   // to a node
+    kRaft,      // `bytes`, between voters
+    kRelay,     // a voter that does not lead hands on what its client `number` asked
+    kRelayed,   // and gets the replies
+    kRelayGone  // that client is there no more
+  };
+  Kind kind = Kind::kPing;
+  std::uint64_t number = 0;
+  std::vector<Request> requests;
+  std::vector<Reply> replies;
+  std::string bytes;
+  // Of a hello.
+  std::string cluster, nonce;
+  Node who;
+  std::uint64_t voter = 0;   // its id among the voters; 0: none of them
+  std::uint64_t starts = 0;  // how often this voter's state was started on
+  std::uint64_t run = 0;     // drawn at that start
+};
+constexpr auto kLastFrame = Frame::Kind::kRelayGone;
 
 }  // namespace nettlestand::duties
--- /dev/null
+++ b/duties/pack.h
@@ -0,0 +1,55 @@
+// MessagePack of this package's values: one shape for the log, the snapshot and the wire.
+#pragma once
+
+#define MSGPACK_NO_BOOST
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "duties/table.h"
+
+namespace nettlestand::duties {
+
+using Packer = msgpack::packer<msgpack::sbuffer>;
+
+void pack(Packer& out, const Node& node);
+void pack(Packer& out, const Duty& duty);
+void pack_bytes(Packer& out, std::string_view bytes);
+
+// Reading: what does not fit throws BadBytes, or msgpack's own type errors.
+const msgpack::object& part(const msgpack::object& o, std::uint32_t i, std::uint32_t size);
+template <class Value>
+Value as(const msgpack::object& o, std::uint32_t i, std::uint32_t size) {
+  return part(o, i, size).as<Value>();
+}
+template <class Enum>
+Enum word(const msgpack::object& o, std::uint32_t i, std::uint32_t size, Enum last) {
+  const auto value = as<std::uint8_t>(o, i, size);
+  if (value > static_cast<std::uint8_t>(last)) throw BadBytes("a word that is none");
+  return static_cast<Enum>(value);
+}
+std::string text_of(const msgpack::object& o, std::size_t most);
+Node node_of(const msgpack::object& o);
+Duty duty_of(const msgpack::object& o);
+std::vector<const msgpack::object*> parts_of(const msgpack::object& o, std::size_t most);
+
+// Reads one object that fills `bytes`, or throws BadBytes.
+template <class Read>
+auto reading(std::string_view bytes, Read read) {
+  try {
+    std::size_t at = 0;
+    const msgpack::unpack_limit limit(1 << 20, 16, 1 << 26, 1 << 26, 0, 16);
+    const msgpack::object_handle handle =
+        msgpack::unpack(bytes.data(), bytes.size(), at, nullptr, nullptr, limit);
+    if (at != bytes.size()) throw BadBytes("more bytes than belong there");
+    return read(handle.get());
+  } catch (const BadBytes&) {
+    throw;
+  } catch (const std::exception& problem) {
+    throw BadBytes(problem.what());
+  }
+}
+
+}  // namespace nettlestand::duties
--- a/duties/table.cpp
+++ b/duties/table.cpp
@@ -1,17 +1,16 @@
 #include "duties/table.h"
 
-#define MSGPACK_NO_BOOST
 #include <algorithm>
 #include <cmath>
-#include <msgpack.hpp>
 #include <utility>
 
+#include "duties/pack.h"
+
 namespace nettlestand::duties {
 namespace {
 
 constexpr std::uint8_t kVersion = 1;
 constexpr double kShortest = 0.1, kLongest = 86400;  // s, of a lease
-constexpr std::size_t kMostBytes = 64 * 1024 * 1024;
 
 bool good(const std::string& name, bool may_be_empty = false) {
   return name.size() <= kLongestName && (may_be_empty || !name.empty());
@@ -30,65 +29,6 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-using Packer = msgpack::packer<msgpack::sbuffer>;
-
-void pack(Packer& out, const Node& n) {
-  out.pack_array(4);
-  out.pack(n.name);
-  out.pack(n.life);
-  out.pack(n.zone);
-  out.pack(n.region);
-}
-void pack(Packer& out, const Duty& d) {
-  out.pack_array(5);
-  out.pack(d.name);
-  out.pack(d.length);
-  out.pack(d.prefer);
-  out.pack(d.apart);
-  out.pack(d.never);
-}
-
-// Reading: what does not fit throws, by msgpack's own type errors or by these.
-const msgpack::object& part(const msgpack::object& o, std::uint32_t i, std::uint32_t size) {
-  if (o.type != msgpack::type::ARRAY || o.via.array.size != size)
-    throw BadBytes("not as many parts as belong there");
-  return o.via.array.ptr[i];
-}
-template <class Value>
-Value as(const msgpack::object& o, std::uint32_t i, std::uint32_t size) {
-  return part(o, i, size).as<Value>();
-}
-template <class Enum>
-Enum word(const msgpack::object& o, std::uint32_t i, std::uint32_t size, Enum last) {
-  const auto value = as<std::uint8_t>(o, i, size);
-  if (value > static_cast<std::uint8_t>(last)) throw BadBytes("a word that is none");
-  return static_cast<Enum>(value);
-}
-Node node_of(const msgpack::object& o) {
-  return {as<std::string>(o, 0, 4), as<std::uint64_t>(o, 1, 4), as<std::string>(o, 2, 4),
-          as<std::string>(o, 3, 4)};
-}
-Duty duty_of(const msgpack::object& o) {
-  using Names = std::vector<std::string>;
-  return {as<std::string>(o, 0, 5), as<double>(o, 1, 5), as<Names>(o, 2, 5), as<Names>(o, 3, 5),
-          as<Names>(o, 4, 5)};
-}
-
-template <class Read>
-auto reading(std::string_view bytes, Read read) {
-  try {
-    if (bytes.size() > kMostBytes) throw BadBytes("too long");
-    std::size_t at = 0;
-    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), at);
-    if (at != bytes.size()) throw BadBytes("more bytes than belong there");
-    return read(handle.get());
-  } catch (const BadBytes&) {
-    throw;
-  } catch (const std::exception& problem) {
-    throw BadBytes(problem.what());
-  }
-}
-
 }  // namespace
 
 const char* name_of(Cause cause) {
--- /dev/null
+++ b/duties/wire.h
@@ -0,0 +1,58 @@
+// Frames as bytes on a stream: a length, MessagePack, a seal. The seal is a BLAKE2b digest keyed by the
+// cluster's key, over the nonce that the receiver drew for this connection, the frame's place on it, and the
+// frame: what was recorded on another connection, doubled or left out is not taken. Without a key it is a
+// checksum, and keeps out nobody.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "duties/messages.h"
+
+namespace nettlestand::duties {
+
+constexpr std::uint8_t kWireVersion = 1;
+constexpr std::size_t kMostFrame = 64 * 1024 * 1024;   // bytes of one frame between voters,
+constexpr std::size_t kMostClientFrame = 1024 * 1024;  // and from or to a node
+constexpr std::size_t kLongestText = 256 * 1024;       // bytes of a request's or a reply's text
+constexpr std::size_t kMostTogether = 8192;            // requests or replies in one frame
+constexpr std::size_t kNonce = 16;                     // bytes
+
+// 32 bytes each, none to two: the first one seals, all are taken. Throws std::runtime_error.
+struct Keys {
+  std::vector<std::string> keys;
+};
+
+// Frames with no seal, for hosts without sockets, and what is sealed. decode throws BadBytes.
+std::string encode(const Frame& frame);
+Frame decode_frame(std::string_view bytes);
+
+// One connection's two directions of frames.
+class Channel {
+ public:
+  // `nonce`: this side's, kNonce random bytes; `most`: bytes that a frame from the other side may have.
+  Channel(const Keys& keys, std::string nonce, std::size_t most);
+
+  // The bytes of the next frame this way. Anything but a hello needs the other side's hello first.
+  std::string seal(const Frame& frame);
+  // Takes bytes as they come.
+  void put(std::string_view bytes) { in_.append(bytes); }
+  // The next whole frame, or none yet. Throws BadBytes: then the connection is of no more use.
+  std::optional<Frame> next();
+  bool met() const { return !other_nonce_.empty(); }
+  const std::string& nonce() const { return nonce_; }
+  void allow(std::size_t most) { most_ = most; }
+
+ private:
+  std::string digest(std::string_view body, const std::string& key, const std::string& nonce,
+                     std::uint64_t number) const;
+  std::vector<std::string> keys_;
+  std::string nonce_, other_nonce_, in_;
+  std::size_t most_, read_ = 0;
+  std::uint64_t sent_ = 0, taken_ = 0;
+};
+
+}  // namespace nettlestand::duties
--- a/tests/duties/model.h
+++ b/tests/duties/model.h
@@ -159,6 +159,7 @@
       out.drift = s.drift;
       out.ask_memory = 10;
       out.prefer_wait = 0;
+      out.take_patience = 0.5;
       return out;
     }
     Table table;
