--- a/core/engine.cpp
+++ b/core/engine.cpp
@@ -131,6 +131,7 @@
   if (live == nullptr || !live->caller) return;
   const bool may_have_run = std::any_of(live->tries.begin(), live->tries.end(),
                                         [](const Try& attempt) { return attempt.may_have_run; });
+  if (options_.answered) options_.answered(live->call, may_have_run ? kind : Reply::Kind::kRefused);
   const std::shared_ptr<Caller> caller = release(*live);
   post(qu::RequestGone{live->call.facts.id});
   forget_if_done(request);
@@ -234,6 +235,7 @@
 void Engine::answer(std::uint64_t request, Reply&& reply) {
   Live* live = find(request);
   if (live == nullptr) return;
+  if (options_.answered && live->caller) options_.answered(live->call, reply.kind);
   const std::shared_ptr<Caller> caller = release(*live);
   forget_if_done(request);
   if (caller) caller->answered(std::move(reply));
@@ -245,6 +247,8 @@
   Try& done = live->tries[static_cast<std::size_t>(attempt.attempt)];
   done.open = false;
   done.may_have_run = !never_ran(outcome);
+  if (options_.answered && live->caller && outcome == qu::Outcome::kDelivered)
+    options_.answered(live->call, Reply::Kind::kServed);
   const auto caller = outcome == qu::Outcome::kDelivered ? release(*live) : nullptr;
   post(qu::AttemptResult{live->call.facts.id, attempt.attempt, outcome, now() - done.sent_at, !live->caller});
   if (caller) caller->answered({Reply::Kind::kServed, 0, std::move(cargo)});
--- a/core/engine.h
+++ b/core/engine.h
@@ -61,6 +61,8 @@
   std::uint64_t seed = 0;
   std::size_t most_servers = 8192;  // that may be listed, ready or leaving
   std::optional<ServerList> known;  // the servers as last known
+  // Told of each final answer, before its caller is: who asked what, and how it ended. Must not throw.
+  std::function<void(const Call&, Reply::Kind)> answered;
 };
 
 // Everything on the thread of the one event loop, but ready() and refusal(), which any thread may call.
--- a/daemon/config.cpp
+++ b/daemon/config.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <random>
 #include <set>
 #include <stdexcept>
 
@@ -148,11 +149,22 @@
 }
 
 void identify(Config& config) {
-  if (!config.peers) return;
   const quinceusher::Settings& s = config.settings;
-  const auto zone = static_cast<std::size_t>(s.zone);
-  peers::identify(*config.peers, {config.name, zone < config.zones.size() ? config.zones[zone] : "", s.tier,
-                                  s.copy_index, s.copy_count, config.seed});
+  const auto at = static_cast<std::size_t>(s.zone);
+  const std::string zone = at < config.zones.size() ? config.zones[at] : "";
+  if (config.peers)
+    peers::identify(*config.peers, {config.name, zone, s.tier, s.copy_index, s.copy_count, config.seed});
+  if (!config.duties) return;
+  duties::Node& self = config.duties->service.client.holding.self;
+  self.name = config.name.substr(0, duties::kLongestName);
+  self.zone = zone.substr(0, duties::kLongestName);
+  // A life of its own for each start: no clock and no disk can be trusted with that.
+  std::random_device random;
+  self.life = (static_cast<std::uint64_t>(random()) << 31 ^ random()) + 1;
+  config.duties->service.client.seed = self.life;
+  if (!config.duties->voter) return;
+  config.duties->voter->voter.self = self;
+  config.duties->voter->voter.agreement.seed = self.life;
 }
 
 }  // namespace nettlestand
--- a/daemon/config.h
+++ b/daemon/config.h
@@ -10,12 +10,32 @@
 
 #include "core/members.h"
 #include "daemon/log.h"
+#include "duties/service.h"
+#include "duties/voter_service.h"
 #include "http/listener.h"
 #include "peers/service.h"
 #include "quinceusher/balancer.h"
+#include "report/reporter.h"
 
 namespace nettlestand {
 
+// A program that is run while its duty is held.
+struct DutyProgram {
+  duties::Duty duty;
+  std::vector<std::string> command;  // its path and arguments
+  double stop = 2;                   // s that it has to end after SIGTERM
+};
+
+// Duties held by one node.
+struct DutiesConfig {
+  duties::ServiceOptions service;
+  std::optional<duties::VoterOptions> voter;  // where this node votes
+  std::vector<DutyProgram> programs;
+  std::optional<report::ReporterOptions> report;
+  std::string key_file;  // the cluster's keys, or empty
+  bool may_start_programs = true;
+};
+
 struct Config {
   std::string name;
   boost::asio::ip::tcp::endpoint listen;
@@ -32,6 +52,7 @@
   LogOptions log;
   std::optional<peers::ServiceOptions> peers;  // membership among the nodes, where it is on
   std::string peers_key_file;                  // the cluster's keys, or empty
+  std::optional<DutiesConfig> duties;          // where they are on
   std::string control;                         // path of the control socket, or empty
 
   // So many servers may be listed, ready or leaving: each takes 1.4 KB, or twice that with a long name.
--- a/daemon/control.cpp
+++ b/daemon/control.cpp
@@ -13,6 +13,7 @@
 #include <cerrno>
 #include <chrono>
 #include <cstring>
+#include <sstream>
 #include <stdexcept>
 #include <utility>
 
@@ -23,9 +24,10 @@
 using asio::local::stream_protocol;
 using boost::system::error_code;
 
-constexpr std::size_t kLongestCommand = 128;  // bytes
-constexpr int kMostOpen = 8;                  // who asks at a time; more are closed at once
-constexpr auto kPatience = std::chrono::seconds(2);
+constexpr std::size_t kLongestCommand = 4096;               // bytes
+constexpr int kMostOpen = 8;                                // who asks at a time; more are closed at once
+constexpr auto kPatience = std::chrono::seconds(2);         // for the command to come, and the answer to go
+constexpr auto kAnswerPatience = std::chrono::seconds(14);  // for an answer that comes later
 
 std::string checked(std::string path) {
   if (path.size() >= sizeof(sockaddr_un::sun_path))
@@ -64,13 +66,48 @@
   }
 
  private:
+  // The one of the longest name that the line begins with.
+  bool answer_later(const std::string& line) {
+    std::vector<std::string> words;
+    std::istringstream in(line);
+    for (std::string word; in >> word;) words.push_back(word);
+    for (std::size_t n = words.size(); n > 0; --n) {
+      std::string name;
+      for (std::size_t i = 0; i < n; ++i) name += (i > 0 ? " " : "") + words[i];
+      const auto it = owner_.later_.find(name);
+      if (it == owner_.later_.end()) continue;
+      timer_.expires_after(kAnswerPatience);
+      timer_.async_wait([self = shared_from_this()](const error_code& error) {
+        if (!error) self->close();
+      });
+      words.erase(words.begin(), words.begin() + static_cast<std::ptrdiff_t>(n));
+      const auto done = [self = shared_from_this()](std::string text, std::string error) {
+        self->say(error.empty() ? std::move(text) + "\n" : "error: " + error + "\n");
+      };
+      try {
+        it->second(words, done);
+      } catch (const std::exception& problem) {
+        done("", problem.what());
+      }
+      return true;
+    }
+    return false;
+  }
   void answer(const std::string& line) {
+    if (answer_later(line)) return;
     const auto it = owner_.commands_.find(line);
     try {
-      out_ = it == owner_.commands_.end() ? "error: no such command\n" : it->second() + "\n";
+      say(it == owner_.commands_.end() ? "error: no such command\n" : it->second() + "\n");
     } catch (const std::exception& problem) {
-      out_ = std::string("error: ") + problem.what() + "\n";
+      say(std::string("error: ") + problem.what() + "\n");
     }
+  }
+  void say(std::string text) {
+    out_ = std::move(text);
+    timer_.expires_after(kPatience);
+    timer_.async_wait([self = shared_from_this()](const error_code& error) {
+      if (!error) self->close();
+    });
     asio::async_write(socket_, asio::buffer(out_),
                       [self = shared_from_this()](const error_code&, std::size_t) { self->close(); });
   }
@@ -88,10 +125,11 @@
   std::string out_;
 };
 
-Control::Control(asio::io_context& io, std::string path, Commands commands, Log log)
+Control::Control(asio::io_context& io, std::string path, Commands commands, Later later, Log log)
     : io_(io),
       path_(checked(std::move(path))),
       commands_(std::move(commands)),
+      later_(std::move(later)),
       log_(std::move(log)),
       acceptor_(io) {
   struct stat there {};
@@ -138,7 +176,7 @@
     int fd;
     ~Closed() { ::close(fd); }
   } const socket{::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0)};
-  const timeval patience{5, 0};
+  const timeval patience{15, 0};
   setsockopt(socket.fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
   setsockopt(socket.fd, SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof patience);
   if (connect(socket.fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0) {
--- a/daemon/log.h
+++ b/daemon/log.h
@@ -12,8 +12,8 @@
 namespace nettlestand {
 
 // Whose levels can be set.
-inline constexpr std::array<const char*, 7> kLogComponents = {
-    "node", "engine", "decisions", "discovery", "listener", "upstream", "peers"};
+inline constexpr std::array<const char*, 9> kLogComponents = {
+    "node", "engine", "decisions", "discovery", "listener", "upstream", "peers", "duties", "report"};
 
 struct LogOptions {
   enum class Format {
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -20,6 +20,10 @@
 #ifdef NETTLESTAND_WITH_DEMO
 #include "daemon/demo.h"
 #endif
+#ifdef NETTLESTAND_WITH_DUTIES
+#include "daemon/duties.h"
+#include "daemon/duty_program.h"
+#endif
 
 namespace {
 
@@ -68,6 +72,10 @@
   if (out.peers && !out.peers_key_file.empty()) {
     out.peers->cluster.keys = ns::peers::read_keys(contents(out.peers_key_file));
   }
+  if (out.duties && !out.duties->key_file.empty()) {
+    out.duties->service.keys.keys = ns::peers::read_keys(contents(out.duties->key_file));
+    if (out.duties->voter) out.duties->voter->keys = out.duties->service.keys;
+  }
   return out;
 }
 
@@ -118,6 +126,113 @@
   }
 }
 
+int say_error(const std::exception& problem) {
+  std::fprintf(stderr, "nettlestand: %s\n", problem.what());
+  return kCannotStart;
+}
+
+#ifdef NETTLESTAND_WITH_DUTIES
+// Duties and the fleet report: what the command line says of them, and what it does.
+class DutiesCommands {
+ public:
+  explicit DutiesCommands(CLI::App& app) {
+    CLI::App* all = app.add_subcommand("duties", "Duties that one node holds at a time.");
+    all->require_subcommand(1);
+    const auto asked = [&](CLI::App* to, const char* name, const char* about, const char* command,
+                           bool json = false) {
+      CLI::App* one = to->add_subcommand(name, about);
+      one->add_option("--socket", socket_, "path of a node's control socket")->required();
+      if (json) one->add_flag("--json", json_, "all of it, as one JSON object");
+      commands_.push_back({one, command});
+      return one;
+    };
+    asked(all, "show", "Who holds what, as the voters' leader has it.", "duties", true);
+    asked(all, "own", "What the asked node itself holds, as JSON.", "duties own");
+    CLI::App* pass =
+        asked(all, "hand-over", "Has a duty's holder give it back, at once, to another one.", "duties pass");
+    pass->add_option("duty", name_, "the duty")->required();
+    pass->add_option("--to", more_, "the node that is to have it");
+    asked(all, "define", "Tells the voters a duty's settings anew, as the asked node's file has them.",
+          "duties define")
+        ->add_option("duty", name_, "the duty")
+        ->required();
+    asked(all, "remove", "Has the voters forget a duty.", "duties remove")
+        ->add_option("duty", name_, "the duty")
+        ->required();
+    CLI::App* voters = all->add_subcommand("voters", "Who votes.");
+    voters->require_subcommand(1);
+    asked(voters, "show", "Who votes, as the asked node's voter has it.", "duties voters", true);
+    CLI::App* add =
+        asked(voters, "add", "Has a voter join, whose node runs on a state of its own.", "duties voters add");
+    add->add_option("name", name_, "the voter's node")->required();
+    add->add_option("--address", more_, "where it listens, for nodes whose files don't name it");
+    asked(voters, "remove", "Has a voter vote no more.", "duties voters remove")
+        ->add_option("name", name_, "the voter's node")
+        ->required();
+    init_ = all->add_subcommand("init", "Makes the state of a new voter, with a new identity.");
+    init_->add_option("--folder", folder_, "where it is to lie")->required();
+    init_->add_option("--found", found_, "it is the first one of all, on the node of this name");
+    guard_ = app.add_subcommand("duty-guard", "The guardian of a duty's program; started by the node alone.");
+    guard_->group("");
+    guard_->add_option("stop", stop_)->required();
+    guard_->add_option("command", command_)->required();
+    guard_->prefix_command();
+    report_ = app.add_subcommand(
+        "report", "What the fleet has answered, period by period, as its report's file has it.");
+    report_->add_option("--book", book_, "the file")->required();
+    report_->add_option("--periods", periods_, "so many, the last ones")
+        ->check(CLI::Range(1, 1000000))
+        ->capture_default_str();
+    report_->add_flag("--csv", csv_, "as comma-separated values");
+    report_->add_option("--plot", plot_, "an SVG picture to write (needs gnuplot)");
+  }
+  // What was asked for, done; none: it was something else.
+  std::optional<int> run() {
+    try {
+      if (*guard_) {
+        command_.insert(command_.end(), guard_->remaining().begin(), guard_->remaining().end());
+        return ns::run_guardian(stop_, command_);
+      }
+      if (*init_) return told(ns::init_voter(folder_, found_));
+      if (*report_) return report();
+      for (const auto& [app, command] : commands_) {
+        if (!*app) continue;
+        std::string line = command;
+        for (const std::string* word : {&name_, &more_}) line += word->empty() ? "" : " " + *word;
+        const std::string out = ns::ask_control(socket_, line);
+        if (command == std::string("duties") && !json_) return told(ns::duties_table(out));
+        if (command == std::string("duties voters") && !json_) return told(ns::voters_table(out));
+        return told(out == "\n" ? "done\n" : out);
+      }
+    } catch (const std::exception& problem) {
+      return say_error(problem);
+    }
+    return std::nullopt;
+  }
+
+ private:
+  static int told(const std::string& text) {
+    std::fputs(text.c_str(), stdout);
+    return 0;
+  }
+  int report() const {
+    if (!std::ifstream(book_)) throw std::runtime_error("can't read " + book_);
+    ns::report::Book book(book_);
+    const auto periods = book.periods(static_cast<std::uint64_t>(periods_));
+    if (!plot_.empty()) ns::report::plot(periods, plot_);
+    return told(csv_ ? ns::report::csv(periods) : ns::report::table(periods));
+  }
+
+  std::vector<std::pair<CLI::App*, const char*>> commands_;
+  CLI::App *init_ = nullptr, *guard_ = nullptr, *report_ = nullptr;
+  std::string socket_, name_, more_, folder_, found_, book_, plot_;
+  std::vector<std::string> command_;
+  double stop_ = 2;
+  int periods_ = 10;
+  bool json_ = false, csv_ = false;
+};
+#endif
+
 int demo([[maybe_unused]] double seconds) {
 #ifdef NETTLESTAND_WITH_DEMO
   return ns::run_demo("/proc/self/exe", seconds);
@@ -170,11 +285,17 @@
   demo_it->add_option("--seconds", seconds, "how long it lasts")
       ->check(CLI::Range(5.0, 600.0))
       ->capture_default_str();
+#ifdef NETTLESTAND_WITH_DUTIES
+  DutiesCommands duties(app);
+#endif
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& problem) {
     return app.exit(problem) == 0 ? 0 : kBadConfig;
   }
+#ifdef NETTLESTAND_WITH_DUTIES
+  if (const auto code = duties.run()) return *code;
+#endif
   if (*check_it) return check(file);
   if (*show_it) return show_peers(socket, json);
   if (*demo_it) return demo(seconds);
--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -26,13 +26,18 @@
   return longest;
 }
 
-// One thread runs the loop and whatever it serves: nothing on it needs a lock.
-constexpr int kUnlocked = BOOST_ASIO_CONCURRENCY_HINT_UNSAFE;
+constexpr auto kLastWords = std::chrono::milliseconds(30);  // for what is said to the voters at the end
+
+// One thread runs the loop and whatever it serves: nothing on it needs a lock, unless a voter or a report's
+// writer beside it has something to tell.
+int locks(const Config& config) {
+  return config.duties ? BOOST_ASIO_CONCURRENCY_HINT_SAFE : BOOST_ASIO_CONCURRENCY_HINT_UNSAFE;
+}
 
 }  // namespace
 
 Node::Node(const Config& config, std::function<Config()> reload, Log log)
-    : io_(kUnlocked),
+    : io_(locks(config)),
       reload_config_(std::move(reload)),
       log_(std::move(log)),
       config_(config),
@@ -41,11 +46,13 @@
       budget_(config.memory_mb * 1024 * 1024 / kBodyPart),
       poller_(io_),
       upstream_(io_, poller_, {config.connect_timeout, config.idle_close, sockets_ * 9 / 20}, budget_, log_),
-      engine_(io_, {config.settings, config.seed, config.most_servers(), config.known}, upstream_, log_,
+      engine_(io_, {config.settings, config.seed, config.most_servers(), config.known, counted(config)},
+              upstream_, log_,
               [this] {
                 if (discovery_) discovery_->watch();
               }),
-      listener_(io_, poller_, config.listen, Intake(config.settings, config.classes, config.tenants), engine_,
+      listener_(io_, poller_, config.listen,
+                Intake(config.settings, config.classes, config.tenants, config.duties.has_value()), engine_,
                 budget_, sockets_ * 11 / 20, config.listener, log_),
       signals_(io_, SIGTERM, SIGINT),
       reload_(io_, SIGHUP),
@@ -59,6 +66,9 @@
                                              {}},
                    log_);
   }
+#ifdef NETTLESTAND_WITH_DUTIES
+  if (config.duties) duties_.emplace(io_, config, log_);
+#endif
   if (!config.control.empty()) {
     control_.emplace(io_, config.control,
                      Control::Commands{{"peers",
@@ -67,7 +77,7 @@
                                             throw std::runtime_error("membership is off in this node");
                                           return peers_->report();
                                         }}},
-                     log_);
+                     commands(), log_);
   }
   if (!config.discovery) return;
   discovery_.emplace(io_,
@@ -79,12 +89,35 @@
                      log_);
 }
 
+// What the fleet report counts; nothing where there is none.
+std::function<void(const Call&, Reply::Kind)> Node::counted(const Config& config) {
+#ifdef NETTLESTAND_WITH_DUTIES
+  if (config.duties && config.duties->report) {
+    return [this](const Call& call, Reply::Kind kind) {
+      if (duties_) duties_->answered(call, kind);
+    };
+  }
+#endif
+  static_cast<void>(config);
+  return {};
+}
+
+Control::Later Node::commands() {
+#ifdef NETTLESTAND_WITH_DUTIES
+  if (duties_) return duties_->commands();
+#endif
+  return {};
+}
+
 void Node::run() {
   const std::string at =
       listener_.address().address().to_string() + ":" + std::to_string(listener_.address().port());
   log_({LogLevel::kInfo, "node", "listening", "listening on " + at, {{"address", at}}});
   engine_.start();
   if (peers_) peers_->start();
+#ifdef NETTLESTAND_WITH_DUTIES
+  if (duties_) duties_->start();
+#endif
   if (!discovery_ && config_.servers) engine_.list_came(*config_.servers);
   signals_.async_wait([this](const boost::system::error_code& error, int) {
     if (!error) drain();
@@ -134,6 +167,9 @@
   log_({LogLevel::kInfo, "node", "draining", "draining", {}});
   drain_began_ = now();
   if (peers_) peers_->leaving();
+#ifdef NETTLESTAND_WITH_DUTIES
+  if (duties_) duties_->leave();
+#endif
   listener_.drain();
   look();
 }
@@ -150,7 +186,7 @@
     if (peers_) peers_->leave();
     control_.reset();
     log_({LogLevel::kInfo, "node", "drained", "drained", {{"after_ms", std::int64_t(since * 1000)}}});
-    return io_.stop();
+    return end();
   }
   look_.expires_after(kDrainLook);
   look_.async_wait([this](const boost::system::error_code& error) {
@@ -158,4 +194,15 @@
   });
 }
 
+void Node::end() {
+#ifdef NETTLESTAND_WITH_DUTIES
+  if (duties_) {
+    duties_->close();
+    look_.expires_after(kLastWords);
+    return look_.async_wait([this](const boost::system::error_code&) { io_.stop(); });
+  }
+#endif
+  io_.stop();
+}
+
 }  // namespace nettlestand
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -10,6 +10,9 @@
 #include "core/engine.h"
 #include "daemon/config.h"
 #include "daemon/control.h"
+#ifdef NETTLESTAND_WITH_DUTIES
+#include "daemon/duties.h"
+#endif
 #include "discovery/discovery.h"
 #include "http/listener.h"
 #include "http/upstream.h"
@@ -33,6 +36,9 @@
   void await_reload();
   void drain();
   void look();
+  void end();
+  Control::Later commands();
+  std::function<void(const Call&, Reply::Kind)> counted(const Config& config);
   void take_over(const Config& next);
 
   boost::asio::io_context io_;
@@ -48,6 +54,9 @@
   Engine engine_;
   Listener listener_;
   std::optional<peers::Service> peers_;
+#ifdef NETTLESTAND_WITH_DUTIES
+  std::optional<NodeDuties> duties_;
+#endif
   std::optional<Control> control_;
   boost::asio::signal_set signals_, reload_;
   boost::asio::steady_timer look_;
--- a/daemon/operator_file.cpp
+++ b/daemon/operator_file.cpp
@@ -241,6 +241,7 @@
     discovery();
     servers();
     peers();
+    all_duties();
     control();
     root_.finish();
     identify(out_);
@@ -393,6 +394,125 @@
     s.finish();
   }
 
+  // Names, none of them empty or too long.
+  std::vector<std::string> names(Section& s, const char* key, std::size_t longest, std::size_t most) {
+    std::vector<std::string> out;
+    const toml::node* node = s.find(key, "an array", [](const toml::node& n) { return n.is_array(); });
+    if (node == nullptr) return out;
+    for (const toml::node& item : *node->as_array()) {
+      if (!item.is_string() || (**item.as_string()).empty() || (**item.as_string()).size() > longest) {
+        problems_.add(item.source(),
+                      std::string(key) + ": not a string of 1 to " + std::to_string(longest) + " bytes");
+      } else {
+        out.push_back(**item.as_string());
+      }
+    }
+    if (out.size() > most) s.wrong(key, "more than " + std::to_string(most));
+    return out;
+  }
+
+  nettlestand::duties::Duty duty_of(Section& s, const std::string& name, double lease_ms) {
+    nettlestand::duties::Duty d;
+    d.name = name;
+    d.length = s.ms("lease_ms", lease_ms, 200, kHourMs);
+    d.prefer = names(s, "prefer", duties::kLongestName, duties::kMostListed);
+    d.apart = names(s, "apart", duties::kLongestName, duties::kMostListed);
+    d.never = names(s, "never", duties::kLongestName, duties::kMostListed);
+    return d;
+  }
+
+  void all_duties() {
+    Section s = section("duties");
+    const auto voters = tables(root_, problems_, "voter"), all = tables(root_, problems_, "duty");
+    Section r = section("report");
+    if (!s.there()) {
+      for (const char* other : {"voter", "duty", "report"}) {
+        if (root_.has(other)) root_.wrong(other, "stands there without [duties]");
+      }
+      return;
+    }
+#ifndef NETTLESTAND_WITH_DUTIES
+    root_.wrong("duties", "this build has none; configure with -DNETTLESTAND_BUILD_DUTIES=ON");
+#endif
+    DutiesConfig& d = out_.duties.emplace();
+    duties::ServiceOptions& o = d.service;
+    o.cluster = s.text("cluster", kLongestName).value_or(o.cluster);
+    d.key_file = s.text("key_file", 4096).value_or("");
+    duties::HoldingSettings& h = o.client.holding;
+    h.self.region = s.text("region", duties::kLongestName).value_or("");
+    h.drift = s.number("drift", h.drift, 0, 0.2);
+    h.ask_period = s.ms("ask_ms", h.ask_period * 1000, 20, 60'000);
+    h.answer_patience = s.ms("answer_ms", h.answer_patience * 1000, 20, 60'000);
+    o.client.way.patience = s.ms("patience_ms", o.client.way.patience * 1000, 50, 60'000);
+    d.may_start_programs = s.flag("programs", alone_);
+    std::map<std::string, std::uint32_t> seen;
+    for (const toml::table* table : voters) {
+      Section v(problems_, table, "voter");
+      const auto name = v.text("name", duties::kLongestName);
+      named(v, seen, name);
+      const auto address = v.address("address");
+      if (!v.has("address")) v.missing("address");
+      if (name && name->find('=') != std::string::npos) v.wrong("name", "holds a =");
+      if (name && address) o.voters.push_back({*name, *address});
+      v.finish();
+    }
+    if (voters.empty()) problems_.add(s.where(), "nothing says who votes: [[voter]] is missing");
+    if (voters.size() > 63) root_.wrong("voter", "more than 63");
+    duties::VoterOptions v;
+    v.folder = s.text("folder", 4096).value_or("");
+    v.addresses = o.voters;
+    v.voter.cluster = o.cluster;
+    v.voter.keeper.drift = h.drift;
+    v.voter.keeper.ask_memory = 2.5 * h.ask_period;
+    duties::AgreementSettings& a = v.voter.agreement;
+    a.election_ms = static_cast<unsigned>(s.whole("election_ms", a.election_ms, 50, 60'000));
+    a.heartbeat_ms = static_cast<unsigned>(s.whole("heartbeat_ms", a.heartbeat_ms, 10, 10'000));
+    a.snapshot_after = static_cast<unsigned>(s.whole("snapshot_after", a.snapshot_after, 16, 1e6));
+    a.snapshot_keeps = static_cast<unsigned>(s.whole("snapshot_keeps", a.snapshot_keeps, 1, 1e6));
+    v.voter.keeper.take_patience = s.ms("take_ms", v.voter.keeper.take_patience * 1000, 50, 60'000);
+    v.voter.keeper.propose_patience = 3e-3 * a.election_ms;
+    if (a.heartbeat_ms * 3 > a.election_ms) {
+      s.wrong("heartbeat_ms", "is over a third of duties.election_ms, which is " + plain(a.election_ms));
+    }
+    if (const auto listen = s.address("listen")) {
+      v.listen = *listen;
+      if (!s.has("folder")) s.missing("folder");
+      d.voter = std::move(v);
+    } else if (s.has("folder")) {
+      s.wrong("folder", "stands there without duties.listen, by which this node would vote");
+    }
+    std::map<std::string, std::uint32_t> named_duties;
+    for (const toml::table* table : all) {
+      Section x(problems_, table, "duty");
+      const auto name = x.text("name", duties::kLongestName);
+      named(x, named_duties, name);
+      DutyProgram p;
+      p.duty = duty_of(x, name.value_or(""), 5000);
+      p.command = names(x, "command", 4096, 64);
+      p.stop = x.ms("stop_ms", p.stop * 1000, 0, kHourMs);
+      if (!x.has("command")) x.missing("command");
+      if (!p.command.empty() && p.command[0][0] != '/') x.wrong("command", "its first word is no whole path");
+      if (name == report::kDuty) x.wrong("name", "is the fleet report's own");
+      x.finish();
+      o.duties.push_back(p.duty);
+      d.programs.push_back(std::move(p));
+    }
+    if (all.size() > duties::kMostDuties)
+      root_.wrong("duty", "more than " + std::to_string(duties::kMostDuties));
+    if (r.there()) {
+      report::ReporterOptions& q = d.report.emplace();
+      q.book = r.text("book", 4096).value_or("");
+      q.period = r.ms("period_ms", q.period * 1000, 200, kDayMs);
+      q.tell_every = r.ms("tell_ms", std::min(q.period * 250, 2000.0), 50, 60'000);
+      q.duty = duty_of(r, report::kDuty, 5000);
+      r.finish();
+      o.duties.push_back(q.duty);
+    }
+    if (out_.name.size() > duties::kLongestName)
+      root_.wrong("node", "name: over 64 bytes, which [duties] can't tell of");
+    s.finish();
+  }
+
   void control() {
     Section s = section("control");
     if (!s.there()) return;
@@ -573,6 +693,10 @@
   platform.listener = file.listener;
   platform.log = file.log;
   platform.control = file.control;
+  // Whether nodes may speak to each other at all is the platform's to say, and with it whether there are
+  // duties.
+  if (platform.peers) platform.duties = file.duties;
+  identify(platform);
   if (!platform.peers || !file.peers)
     return;  // whether nodes may speak to each other is the platform's to say
   const peers::ServiceOptions own = *platform.peers;
--- a/duties/agreement.cpp
+++ b/duties/agreement.cpp
@@ -330,7 +330,8 @@
     e.name = message->server_address;
     e.bytes = encode(*message);
     me.events.push_back(std::move(e));
-    me.later([req, cb] { cb(req, 0); });
+    // Who hands over the lead does not want to hear of it.
+    if (cb != nullptr) me.later([req, cb] { cb(req, 0); });
     return 0;
   }
 
--- a/duties/client.cpp
+++ b/duties/client.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::uint64_t kOperators = std::uint64_t{1} << 62;  // their numbers begin there
+constexpr double kUnheard = 3;  // s until what was not answered is said again: it was lost on the way
+constexpr double kAgain = 0.2;  // s until what met no leader is said again
 
 }  // namespace
 
@@ -19,10 +21,16 @@
   if (s_.voters.empty()) throw std::invalid_argument("voters: none is named");
 }
 
-void Client::want(double now, const Duty& duty, Actions& out) {
+void Client::want(double now, const Duty& duty, Actions& out, bool slowly) {
   defined_[duty.name] = duty;
   Holding::Actions actions;
-  holding_.want(now, duty.name, actions);
+  holding_.want(now, duty.name, actions, slowly);
+  did(now, actions, out);
+}
+
+void Client::stopped(double now, const std::string& duty, Actions& out) {
+  Holding::Actions actions;
+  holding_.stopped(now, duty, actions);
   did(now, actions, out);
 }
 
@@ -48,7 +56,7 @@
 void Client::ask(double now, Request request, Done done, Actions& out) {
   request.seq = ++seq_;
   request.node = s_.holding.self;
-  asked_[request.seq] = {request, std::move(done), now + s_.operator_patience, {}};
+  asked_[request.seq] = {request, std::move(done), now + s_.operator_patience, now + kUnheard, {}};
   if (way_.connected()) send(now, {std::move(request)}, out);
 }
 
@@ -84,6 +92,7 @@
   std::vector<Request> again;
   for (auto& [seq, asked] : asked_) {
     asked.replies.clear();
+    asked.again = now + kUnheard;
     again.push_back(asked.request);
   }
   send(now, std::move(again), out);
@@ -103,8 +112,9 @@
   if (f.kind != Frame::Kind::kReplies) return;
   Holding::Actions actions;
   std::vector<Request> define;
-  bool move = false;
+  bool move = false, leaderless = false, led = false;
   for (const Reply& r : f.replies) {
+    (r.kind == Reply::Kind::kNotLeader && r.text.empty() ? leaderless : led) = true;
     if (r.kind == Reply::Kind::kNotLeader && !r.text.empty()) {
       const auto it = std::find(s_.voters.begin(), s_.voters.end(), r.text);
       const auto leader = static_cast<std::size_t>(it - s_.voters.begin());
@@ -112,7 +122,11 @@
     }
     if (r.seq >= kOperators) {
       const auto it = asked_.find(r.seq);
-      if (it == asked_.end() || r.kind == Reply::Kind::kNotLeader || r.kind == Reply::Kind::kBusy) continue;
+      if (it == asked_.end()) continue;
+      if (r.kind == Reply::Kind::kNotLeader || r.kind == Reply::Kind::kBusy) {
+        it->second.again = now + kAgain;
+        continue;
+      }
       it->second.replies.push_back(r);
       // Only what is gathered comes in several parts.
       if (r.kind == Reply::Kind::kText && it->second.request.kind == Request::Kind::kGather) continue;
@@ -138,6 +152,11 @@
     }
     holding_.reply(now, r, actions);
   }
+  if (led) {
+    way_.led();
+  } else if (leaderless && !move) {
+    move = way_.leaderless(now);
+  }
   if (!move) send(now, std::move(define), out);
   did(now, actions, out);
   if (move) {  // what was to go now is said again to the leader
@@ -160,8 +179,14 @@
     out.frames.push_back(ping);
     way_.asked(now);
   }
+  std::vector<Request> again;
   for (auto it = asked_.begin(); it != asked_.end();) {
     if (now < it->second.until) {
+      if (now >= it->second.again) {
+        it->second.again = now + kUnheard;
+        it->second.replies.clear();
+        again.push_back(it->second.request);
+      }
       ++it;
       continue;
     }
@@ -169,11 +194,12 @@
     it = asked_.erase(it);
     done({}, "no leader among the voters has answered");
   }
+  send(now, std::move(again), out);
 }
 
 double Client::next() const {
   double out = std::min(holding_.next(), way_.next());
-  for (const auto& [seq, asked] : asked_) out = std::min(out, asked.until);
+  for (const auto& [seq, asked] : asked_) out = std::min({out, asked.until, asked.again});
   return out;
 }
 
--- a/duties/client.h
+++ b/duties/client.h
@@ -37,11 +37,13 @@
   explicit Client(ClientSettings settings);
 
   // Wants a duty, and defines it where the voters don't know it.
-  void want(double now, const Duty& duty, Actions& out);
+  void want(double now, const Duty& duty, Actions& out, bool slowly = false);
+  void stopped(double now, const std::string& duty, Actions& out);
   void unwant(double now, const std::string& duty, Actions& out);
   void failed(double now, const std::string& duty, Actions& out);
   void leave(double now, Actions& out);
-  // Said once; an answer, or the word that none came, follows in any case.
+  // Said until it is answered, so it may come twice; an answer, or the word that none came, follows in any
+  // case.
   void ask(double now, Request request, Done done, Actions& out);
 
   void came_up(double now, Actions& out);
@@ -53,6 +55,7 @@
 
   const Way& way() const { return way_; }
   std::optional<Token> holds(double now, const std::string& duty) const { return holding_.holds(now, duty); }
+  double until(const std::string& duty) const { return holding_.until(duty); }
   bool idle() const { return holding_.idle(); }
   struct Counters {
     std::uint64_t gained = 0, lost = 0, connections = 0, silent = 0;
@@ -63,7 +66,7 @@
   struct Asked {
     Request request;
     Done done;
-    double until = 0;
+    double until = 0, again = 1e18;  // s; when it has failed, and when it is said once more
     std::vector<Reply> replies;
   };
   void did(double now, Holding::Actions& from, Actions& out);
--- a/duties/holding.cpp
+++ b/duties/holding.cpp
@@ -30,10 +30,11 @@
   }
 }
 
-void Holding::want(double now, const std::string& duty, Actions& out) {
+void Holding::want(double now, const std::string& duty, Actions& out, bool slowly) {
   if (leaving_) return;
   const auto [it, fresh] = duties_.try_emplace(duty);
   it->second.wanted = true;
+  it->second.slowly = slowly;
   if (fresh) say(now, duty, it->second, out);
 }
 
@@ -43,7 +44,7 @@
   it->second.wanted = false;
   if (it->second.token == 0) {
     duties_.erase(it);
-  } else if (it->second.state != State::kReturning) {
+  } else if (it->second.state != State::kReturning && it->second.state != State::kStopping) {
     give_back(now, duty, it->second, Lost::kGivenBack, out);
   }
 }
@@ -91,11 +92,29 @@
 }
 
 void Holding::give_back(double now, const std::string& duty, One& one, Lost why, Actions& out) {
+  const bool had = one.state == State::kHeld;
   stop(duty, one, why, out);
+  if (had && one.slowly) {
+    one.state = State::kStopping;
+    one.next = kNever;
+    return;
+  }
   one.state = State::kReturning;
   say(now, duty, one, out);
 }
 
+void Holding::stopped(double now, const std::string& duty, Actions& out) {
+  const auto it = duties_.find(duty);
+  if (it == duties_.end() || it->second.state != State::kStopping) return;
+  it->second.state = State::kReturning;
+  say(now, duty, it->second, out);
+}
+
+double Holding::until(const std::string& duty) const {
+  const auto it = duties_.find(duty);
+  return it == duties_.end() ? -1e18 : it->second.was_until;
+}
+
 // What is to be said of a duty now.
 void Holding::say(double now, const std::string& duty, One& one, Actions& out) {
   Request r;
@@ -117,6 +136,8 @@
       one.sent[r.seq] = now;
       one.next = now + s_.answer_patience;
       break;
+    case State::kStopping:
+      return;
     case State::kReturning:
       r.kind = Request::Kind::kGiveBack;
       r.failed = one.failed_here;
@@ -141,6 +162,7 @@
       one.token = reply.token;
       // Danger: a grant that was on its way when this node wanted the duty no more would stay with it for a
       // lease.
+      if (one.state == State::kStopping) return;  // a later grant: it is given back with the rest
       if (one.state == State::kReturning || one.state == State::kResting) {
         one.state = State::kReturning;
         return say(now, reply.duty, one, out);
@@ -157,6 +179,7 @@
       one.length = reply.length;
       if (until <= now) return;  // too late to count: the next one may not be
       one.until = std::max(one.until, until);
+      one.was_until = one.until;
       if (one.state == State::kTaking) {
         one.state = State::kHeld;
         one.failed_here = false;
@@ -186,6 +209,7 @@
       one.next = now + std::max(one.backoff, s_.ask_period);
       return;
     case Reply::Kind::kRefused:
+      if (one.state == State::kStopping) return;
       stop(reply.duty, one, Lost::kRemoved, out);
       one.token = 0;
       if (!one.wanted) {
@@ -202,7 +226,7 @@
 
 void Holding::leader_changed(double now, Actions& out) {
   for (auto& [duty, one] : duties_) {
-    if (one.state != State::kResting) say(now, duty, one, out);
+    if (one.state != State::kResting && one.state != State::kStopping) say(now, duty, one, out);
   }
 }
 
--- a/duties/holding.h
+++ b/duties/holding.h
@@ -49,7 +49,9 @@
   // Throws std::invalid_argument.
   explicit Holding(HoldingSettings settings);
 
-  void want(double now, const std::string& duty, Actions& out);
+  // `slowly`: what carries it out takes time to stop. Once lost, it is given back after stopped() alone.
+  void want(double now, const std::string& duty, Actions& out, bool slowly = false);
+  void stopped(double now, const std::string& duty, Actions& out);
   // Stops, if it is held, and gives it back.
   void unwant(double now, const std::string& duty, Actions& out);
   // It could not be done here: stops, gives it back, and asks for it again after a growing pause.
@@ -65,6 +67,9 @@
   // The guard: the token by which this node has a duty now; none where it does not. To be asked at the last
   // moment before an effect, with the time of that moment, and to go with the effect to where it takes place.
   std::optional<Token> holds(double now, const std::string& duty) const;
+  // Until when it is held, or was when it was lost, as far as is known now; for whoever has to stop something
+  // else by then.
+  double until(const std::string& duty) const;
   // All that it decides by, with times from `now` on: two that say the same go on alike. For a model checker.
   void describe(double now, std::string& out) const;
   // Everything given back has been heard of.
@@ -75,13 +80,15 @@
   void ask_soon(double now, const std::string& duty);
 
  private:
-  enum class State : std::uint8_t { kAsking, kTaking, kHeld, kReturning, kResting };
+  enum class State : std::uint8_t { kAsking, kTaking, kHeld, kStopping, kReturning, kResting };
   struct One {
     State state = State::kAsking;
     bool wanted = true;
     bool failed_here = false;
+    bool slowly = false;
     Token token = 0;
     double until = -1e18;                  // s; it is held so long
+    double was_until = -1e18;              // s; the last one of these
     double next = 0;                       // s; something is to be said then
     double length = 0;                     // s, as last told
     double backoff = 0;                    // s
--- a/duties/keeper.cpp
+++ b/duties/keeper.cpp
@@ -82,7 +82,7 @@
                                                 : Command::Kind::kPass;
     c.name = r.duty;
     c.duty = r.settings;
-    c.node.name = r.to;
+    c.node.name = r.to.empty() ? kAnyOther : r.to;
     return order(now, from, r.seq, std::move(c), out);
   }
   const Lease* lease = table_->find(r.duty);
@@ -201,7 +201,8 @@
       out_rank = rank;
     }
   }
-  const bool better_may_come = !lease.next.empty() ? out_rank > 0 : !prefer.empty() && out_rank > 1;
+  const bool named = !lease.next.empty() && lease.next != kAnyOther;
+  const bool better_may_come = named ? out_rank > 0 : !prefer.empty() && out_rank > 1;
   worth_waiting = out == nullptr || better_may_come;
   return out;
 }
--- /dev/null
+++ b/duties/link.h
@@ -0,0 +1,71 @@
+// One TCP connection that carries frames. On its loop's thread; held by shared_ptr until it is closed.
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "duties/wire.h"
+
+namespace nettlestand::duties {
+
+class Link : public std::enable_shared_from_this<Link> {
+ public:
+  using Tcp = boost::asio::ip::tcp;
+  struct Handlers {
+    std::function<void(const Frame& hello)> met;         // the other side's hello is good
+    std::function<void(const Frame& frame)> frame;       // each one behind it
+    std::function<void(const std::string& why)> closed;  // once, at the end; not after close()
+  };
+  struct Options {
+    Keys keys;
+    std::size_t most = kMostClientFrame;        // bytes of a frame from there
+    std::size_t most_queued = 8 * 1024 * 1024;  // bytes that wait to be written; beyond it send() says no
+    double patience = 1;                        // s until it is connected and the hello is there
+    double silence = 0;                         // s without a byte until it is taken for dead; 0: never
+  };
+
+  Link(boost::asio::io_context& io, Options options);
+
+  // Says `hello` as soon as it is up.
+  void connect(const Tcp::endpoint& to, const Frame& hello, Handlers handlers);
+  void accept(Tcp::socket socket, const Frame& hello, Handlers handlers);
+  // False: there is no hello yet, or too much waits; nothing of it is sent.
+  bool send(const Frame& frame);
+  // Bytes that a frame from there may have from now on.
+  void allow(std::size_t most) { channel_.allow(most); }
+  // Closes it, and tells nobody. `flush`: what waits is still written, for 0.2 s at the most.
+  void close(bool flush = false);
+  bool met() const { return channel_.met() && !closed_; }
+  const std::string& nonce() const { return channel_.nonce(); }
+  std::uint64_t bytes_sent() const { return sent_; }
+  std::uint64_t bytes_received() const { return received_; }
+
+ private:
+  void begin(const Frame& hello);
+  void read();
+  void write();
+  void watch(double seconds);
+  void end(const std::string& why);
+
+  boost::asio::io_context& io_;
+  const Options options_;
+  Tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  Channel channel_;
+  Handlers handlers_;
+  std::string out_, writing_;
+  std::array<char, 16384> in_;
+  double heard_at_ = 0;
+  std::uint64_t sent_ = 0, received_ = 0;
+  bool closed_ = false, closing_ = false, up_ = false;
+};
+
+// kNonce bytes that nobody can foretell.
+std::string fresh_nonce();
+
+}  // namespace nettlestand::duties
--- /dev/null
+++ b/duties/place.h
@@ -0,0 +1,41 @@
+// A place where effects land that outlives its process: the highest token of each duty lies in the same
+// SQLite file as the effects, and is checked and raised in the same transaction.
+#pragma once
+
+#include <string>
+
+#include "duties/sqlite.h"
+#include "duties/table.h"
+
+namespace nettlestand::duties {
+
+class Place {
+ public:
+  // Throws StoreError.
+  explicit Place(Sqlite& sql) : sql_(sql) {
+    sql_.run("CREATE TABLE IF NOT EXISTS fence(duty TEXT PRIMARY KEY, token INTEGER) WITHOUT ROWID");
+  }
+  // Within a transaction: whether an effect of the duty may take place in it.
+  bool admit(const std::string& duty, Token token) {
+    if (token == 0) return false;
+    {
+      Sqlite::Statement find(sql_, "SELECT token FROM fence WHERE duty = ?1");
+      find.bind(1, duty);
+      if (find.row() && find.number(0) > token) return false;
+    }
+    Sqlite::Statement(sql_, "INSERT INTO fence VALUES(?1, ?2) ON CONFLICT(duty) DO UPDATE SET token = ?2")
+        .bind(1, duty)
+        .bind(2, token)
+        .run();
+    return true;
+  }
+  Token highest(const std::string& duty) {
+    Sqlite::Statement find(sql_, "SELECT token FROM fence WHERE duty = ?1");
+    return find.bind(1, duty).row() ? find.number(0) : 0;
+  }
+
+ private:
+  Sqlite& sql_;
+};
+
+}  // namespace nettlestand::duties
--- a/duties/table.h
+++ b/duties/table.h
@@ -18,6 +18,8 @@
 // seen.
 using Token = std::uint64_t;
 
+inline constexpr const char* kAnyOther = "*";
+
 constexpr std::size_t kLongestName = 64;  // bytes, of duties, nodes, zones and regions
 constexpr std::size_t kMostListed = 64;   // names in one list of a duty
 constexpr std::size_t kMostDuties = 4096;
@@ -56,7 +58,8 @@
   Token token = 0;             // of the last grant
   std::optional<Node> holder;  // none: it is free
   Cause cause = Cause::kNew;
-  std::string next;  // whom an operator wants it passed to, until somebody has it
+  std::string
+      next;  // whom an operator wants it passed to, until somebody has it; kAnyOther: no matter to whom
   bool operator==(const Lease&) const = default;
 };
 
@@ -66,7 +69,7 @@
     kRemove,   // `name`: it is nobody's, and forgotten
     kGrant,    // `name` to `node`, if it is free and `token` is still that of the last grant
     kRelease,  // `name` from who has `token`, for `cause`
-    kPass      // `name` to the node called `node.name`, once it is free
+    kPass      // `name` to the node called `node.name`, or kAnyOther, once it is free
   };
   Kind kind = Kind::kGrant;
   std::string name;
--- a/duties/voter.cpp
+++ b/duties/voter.cpp
@@ -172,6 +172,12 @@
   pump(now, out);
 }
 
+void Voter::unsent(double now, const Frame& frame, Outs& out) {
+  if (frame.kind != Frame::Kind::kRelay) return;
+  for (const Request& r : frame.requests) reply(frame.number, reply_to(r, Reply::Kind::kBusy), out);
+  pump(now, out);
+}
+
 void Voter::client_gone(double now, std::uint64_t client, Outs& out) {
   keeper_.gone(client);
   waiting_.erase(client);
--- a/duties/voter.h
+++ b/duties/voter.h
@@ -32,7 +32,8 @@
   };
   using Outs = std::vector<Out>;
   struct Note {  // what an operator may want to know
-    std::string event, text;
+    const char* event;
+    std::string text;
   };
 
   // Throws as Agreement does.
@@ -41,9 +42,13 @@
   Frame hello(const std::string& nonce) const;
   // Another voter says hello; false: nothing is to be taken from it (its state is one of former days).
   bool meets(double now, const Frame& hello, Outs& out);
+  // The connection to the voter of this name has ended: who comes back may be another one.
+  void lost(const std::string& name) { known_.erase(name); }
   void from_voter(double now, std::uint64_t id, const std::string& name, const Frame& frame, Outs& out);
   // `client`: the host's number of a connection, from 1 and below 2^32.
   void from_client(double now, std::uint64_t client, const Frame& frame, Outs& out);
+  // A frame to a voter could not go: whose requests were in it are to come again.
+  void unsent(double now, const Frame& frame, Outs& out);
   void client_gone(double now, std::uint64_t client, Outs& out);
   void tick(double now, Outs& out);
   double next() const;
--- a/duties/way.h
+++ b/duties/way.h
@@ -29,7 +29,7 @@
 
   void came_up(double now) {
     connected_ = true;
-    asked_at_ = kNever;
+    asked_at_ = leaderless_at_ = kNever;
     heard_at_ = now;
     failures_ = 0;
   }
@@ -71,6 +71,14 @@
     heard_at_ = now;
     asked_at_ = kNever;
   }
+  // It says that it knows of no leader. True: for so long that another one is to be tried.
+  bool leaderless(double now) {
+    if (leaderless_at_ == kNever) leaderless_at_ = now;
+    if (now - leaderless_at_ < s_.patience) return false;
+    failed(now);
+    return true;
+  }
+  void led() { leaderless_at_ = kNever; }
   bool silent(double now) const { return connected_ && now - asked_at_ >= s_.patience; }
   bool wants_ping(double now) const {
     return connected_ && asked_at_ == kNever && now - heard_at_ >= s_.idle;
@@ -86,7 +94,7 @@
   WaySettings s_;
   std::vector<double> failed_at_;  // s, by voter
   std::size_t target_, back_ = kNone, failures_ = 0;
-  double try_at_ = -1e18, asked_at_ = kNever, heard_at_ = -1e18;
+  double try_at_ = -1e18, asked_at_ = kNever, heard_at_ = -1e18, leaderless_at_ = kNever;
   bool connected_ = false;
 };
 
--- a/http/intake.cpp
+++ b/http/intake.cpp
@@ -19,21 +19,11 @@
 constexpr std::size_t kLongestName = 128;     // bytes of an id or a key
 constexpr std::size_t kLongestTarget = 2048;  // bytes
 
-// What the lines are called; those up to kRequestInfo are the protocol's own.
-constexpr std::array<std::string_view, Intake::kLines> kNames = {"Request-Id",
-                                                                 "Request-Class",
-                                                                 "Tenant",
-                                                                 "Request-Timeout-Ms",
-                                                                 "Idempotency-Key",
-                                                                 "Client-Retry",
-                                                                 "Work-Hint",
-                                                                 "Request-Info",
-                                                                 "Host",
-                                                                 "Cookie",
-                                                                 "Content-Type",
-                                                                 "Content-Length",
-                                                                 "Transfer-Encoding",
-                                                                 "Expect"};
+// What the lines are called; those up to kFencingToken are the protocol's and our own.
+constexpr std::array<std::string_view, Intake::kLines> kNames = {
+    "Request-Id",   "Request-Class", "Tenant",         "Request-Timeout-Ms", "Idempotency-Key",
+    "Client-Retry", "Work-Hint",     "Request-Info",   "Fencing-Token",      "Host",
+    "Cookie",       "Content-Type",  "Content-Length", "Transfer-Encoding",  "Expect"};
 // Those that go on to the server, in this order; but for the time, which the transport writes. Whatever else
 // came says nothing to a server, or belongs to the one connection.
 constexpr std::array kPassedOn = {
@@ -109,7 +99,7 @@
       return Intake::kLines;
   }
   const auto name = field.name_string();
-  for (std::size_t line = 0; line <= Intake::kRequestInfo; ++line) {
+  for (std::size_t line = 0; line <= Intake::kFencingToken; ++line) {
     if (kNames[line].size() == name.size() &&
         boost::beast::iequals(name, {kNames[line].data(), kNames[line].size()})) {
       return static_cast<Intake::Line>(line);
@@ -118,7 +108,7 @@
   return Intake::kLines;
 }
 
-void forward(const Intake::Head& head, const Intake::Lines& lines, Forward& out) {
+void forward(const Intake::Head& head, const Intake::Lines& lines, bool fencing, Forward& out) {
   out.head.reserve(kUsualHead);
   out.head.append(view(head.method_string())).append(" ").append(view(head.target())).append(" HTTP/1.1\r\n");
   for (const Intake::Line line : kPassedOn) {
@@ -127,6 +117,12 @@
     if (lines.count[line] > 1) throw BadRequest{400, "a header twice"};
     out.head.append(kNames[line]).append(": ").append(lines.value[line]).append("\r\n");
   }
+  if (!fencing || lines.count[Intake::kFencingToken] == 0) return;
+  const std::string_view token = lines.value[Intake::kFencingToken];
+  // Guards what compares tokens: a place that reads it in another way would let a former holder in.
+  if (lines.count[Intake::kFencingToken] > 1 || token.size() > 19 || !whole(token))
+    throw BadRequest{400, "bad Fencing-Token"};
+  out.head.append("Fencing-Token: ").append(token).append("\r\n");
 }
 
 }  // namespace
@@ -150,8 +146,8 @@
 }
 
 Intake::Intake(const quinceusher::Settings& settings, const std::vector<std::string>& classes,
-               const std::vector<std::string>& tenants)
-    : class_facts_(settings.classes) {
+               const std::vector<std::string>& tenants, bool fencing)
+    : class_facts_(settings.classes), fencing_(fencing) {
   for (const std::string& name : classes) classes_.emplace(name, classes_.size());
   for (const std::string& name : tenants) tenants_.emplace(name, tenants_.size());
 }
@@ -229,7 +225,7 @@
     if (const auto us = whole(lines.value[kWorkHint])) out.facts.work = static_cast<double>(*us) / 1e6;
   }
   out.facts.is_repeat = lines.value[kClientRetry] == "1";
-  forward(head, lines, onward);
+  forward(head, lines, fencing_, onward);
   onward.repeatable = facts.effect != quinceusher::Effect::kUnsafe;
   return out;
 }
--- a/http/intake.h
+++ b/http/intake.h
@@ -36,6 +36,7 @@
     kClientRetry,
     kWorkHint,
     kRequestInfo,
+    kFencingToken,
     kHost,
     kCookie,
     kContentType,
@@ -50,9 +51,10 @@
     std::array<std::size_t, kLines> count{};
   };
 
-  // The names of the classes and tenants are in the order of the settings.
+  // The names of the classes and tenants are in the order of the settings. `fencing`: a Fencing-Token, of a
+  // request that is made under a duty, goes on to the server; else it means nothing here.
   Intake(const quinceusher::Settings& settings, const std::vector<std::string>& classes,
-         const std::vector<std::string>& tenants);
+         const std::vector<std::string>& tenants, bool fencing = false);
 
   // Throws BadRequest for a head that leaves it open where its message ends.
   static void check_framing(const Head& head, const Lines& lines);
@@ -69,6 +71,7 @@
  private:
   std::map<std::string, std::size_t, std::less<>> classes_, tenants_;
   std::vector<quinceusher::RequestClass> class_facts_;
+  const bool fencing_;
 };
 
 // Whether the bytes hold a header line that goes on in the next one, before the end of the head or trailers.
--- /dev/null
+++ b/report/book.h
@@ -0,0 +1,66 @@
+// The fleet's report: a SQLite file with one entry a period, written by whoever holds the duty. An entry is
+// what has been answered since the one before it; the file keeps how far each node's counts have been taken
+// in, in the same transaction, so that nothing is counted twice or lost when the duty changes hands.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "duties/table.h"
+#include "report/tally.h"
+
+namespace nettlestand::report {
+
+inline constexpr const char* kDuty = "fleet-report";
+
+// What a node has counted, as it last said.
+struct Word {
+  std::string node;
+  std::uint64_t life = 0;
+  std::map<Key, Counts> counts;
+};
+
+struct Period {
+  std::uint64_t number = 0;     // from 1, without a gap
+  double began = 0, ended = 0;  // s since 1970, by the writers' clocks
+  duties::Token token = 0;      // by which it was written
+  std::string writer;
+  std::uint64_t nodes = 0;  // that had a word in it
+  std::map<Key, Counts> counts;
+};
+
+class Book {
+ public:
+  // Makes the file where there is none. Throws duties::StoreError.
+  explicit Book(const std::string& path);
+  ~Book();
+  Book(const Book&) = delete;
+  Book& operator=(const Book&) = delete;
+
+  enum class Written { kYes, kStale };  // kStale: a later holder has written; nothing was changed
+  // Closes a period. `at`: s since 1970. Throws duties::StoreError, and has changed nothing.
+  Written close(duties::Token token, const std::string& writer, double at, const std::vector<Word>& words);
+  // s since 1970 of the last period's end; 0: there is none.
+  double last_ended();
+  std::vector<Period> periods(std::uint64_t last);  // so many, the oldest first
+
+  // Called within the transaction, before it is committed: for tests.
+  std::function<void()> before_commit;
+
+ private:
+  struct Db;
+  std::unique_ptr<Db> db_;
+};
+
+// For people: a line a period, tier, zone and tenant.
+std::string table(const std::vector<Period>& periods);
+std::string csv(const std::vector<Period>& periods);
+// One SVG picture by gnuplot: served, refused and failed a second, and p99, over the periods. Throws
+// std::runtime_error where there is no gnuplot.
+void plot(const std::vector<Period>& periods, const std::string& file);
+
+}  // namespace nettlestand::report
--- a/standins/seams/control.cpp
+++ b/standins/seams/control.cpp
@@ -53,9 +53,14 @@
   fs::remove_all(saved_, ignored);
 }
 
+// Files and folders; a socket in it is its process's own.
 void StateFolder::save() {
   fs::remove_all(saved_);
-  fs::copy(path_, saved_, fs::copy_options::recursive);
+  fs::create_directory(saved_);
+  for (const auto& entry : fs::directory_iterator(path_)) {
+    if (!entry.is_socket())
+      fs::copy(entry.path(), fs::path(saved_) / entry.path().filename(), fs::copy_options::recursive);
+  }
 }
 
 void StateFolder::roll_back() {
--- a/standins/world/world.cpp
+++ b/standins/world/world.cpp
@@ -27,15 +27,15 @@
 constexpr double kMostWaited = 0.25;  // s of that, beyond which a run is void
 
 // A port that the kernel gives; the addresses it is used at are the network's own.
-int free_udp_port(const std::string& ip) {
-  const Fd socket(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+int free_port(const std::string& ip, int kind) {
+  const Fd socket(::socket(AF_INET, kind | SOCK_CLOEXEC, 0));
   sockaddr_in at{};
   at.sin_family = AF_INET;
   inet_pton(AF_INET, ip.c_str(), &at.sin_addr);
   socklen_t size = sizeof at;
   if (bind(socket.get(), reinterpret_cast<const sockaddr*>(&at), size) != 0 ||
       getsockname(socket.get(), reinterpret_cast<sockaddr*>(&at), &size) != 0) {
-    throw std::runtime_error("no port for datagrams");
+    throw std::runtime_error("no port to be had");
   }
   return ntohs(at.sin_port);
 }
@@ -82,13 +82,21 @@
     }
   }
   if (s_.peers) {
-    peer_port_ = free_udp_port(network_->ip(machines_[node_members_[0]]));
+    peer_port_ = free_port(network_->ip(machines_[node_members_[0]]), SOCK_DGRAM);
     for (std::size_t i = 0; i < s_.nodes; ++i) {
       for (std::size_t j = 0; j < i; ++j) {
         network_->udp(machines_[node_members_[i]], peer_port_, machines_[node_members_[j]], peer_port_);
       }
     }
   }
+  if (s_.voters > 0) {
+    voter_port_ = free_port(network_->ip(machines_[node_members_[0]]), SOCK_STREAM);
+    for (std::size_t i = 0; i < s_.nodes; ++i) {
+      for (std::size_t j = 0; j < s_.voters; ++j) {
+        if (i != j) network_->tcp(machines_[node_members_[i]], machines_[node_members_[j]], voter_port_);
+      }
+    }
+  }
   nodes_.resize(s_.nodes);
   node_ports_.resize(s_.nodes);
   logs_.resize(s_.nodes);
@@ -141,6 +149,7 @@
   });
   discovery_->set(listings);
   network_->look();
+  for (std::size_t i = 0; i < s_.voters && s_.before_voting; ++i) s_.before_voting(i, states_[i]->path());
   for (std::size_t i = 0; i < s_.nodes; ++i) start_node(i);
   for (std::size_t i = 0; i < s_.nodes; ++i) node_ports_[i] = nodes_[i]->port();
   for (const auto& node : nodes_) node->await_ready();
@@ -187,6 +196,7 @@
     options.environment.push_back(seams_[i]->environment());
   }
   if (s_.logs) options.arguments = {"run", "--log-format", "json"};
+  if (s_.voters > 0) options.operator_file += duties_of(i);
   const std::string here = "{state}";
   for (std::size_t at = 0; (at = options.operator_file.find(here, at)) != std::string::npos;) {
     options.operator_file.replace(at, here.size(), states_[i]->path());
@@ -194,6 +204,20 @@
   return options;
 }
 
+// A node's [duties] and the voters as it reaches them.
+std::string ProcessWorld::duties_of(std::size_t i) {
+  const auto own = [&](std::size_t j) { return network_->ip(machines_[node_members_[j]]); };
+  const std::string port = ":" + std::to_string(voter_port_) + "\"\n";
+  std::string out = "[duties]\n";
+  if (i < s_.voters) out += "listen = \"" + own(i) + port + "folder = \"{state}\"\n";
+  out += s_.duties;
+  for (std::size_t j = 0; j < s_.voters; ++j) {
+    out += "[[voter]]\nname = \"" + members_[node_members_[j]].name + "\"\naddress = \"" +
+           (i == j ? own(j) : network_->way(machines_[node_members_[i]], machines_[node_members_[j]])) + port;
+  }
+  return out;
+}
+
 void ProcessWorld::start_node(std::size_t i) {
   nodes_[i] = std::make_unique<NodeProcess>(s_.binary, config_of(i), options_of(i));
   seen_[i] = {};
--- a/standins/world/world.h
+++ b/standins/world/world.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "standins/callers/load.h"
+#include "standins/common/loop.h"
 #include "standins/discovery/discovery.h"
 #include "standins/links/network.h"
 #include "standins/seams/control.h"
@@ -37,6 +38,12 @@
   ProcessOptions process;
   // Nodes may speak to each other: each has a socket for it, and all ways between them lead through links.
   bool peers = false;
+  // The first so many nodes vote on duties, the others are clients of theirs; nodes may speak to each other
+  // then.
+  std::size_t voters = 0;
+  std::string duties;  // more lines of [duties] in all nodes' files, and sections behind it
+  // Called for each voter before its first start, with its state folder: makes what it votes with.
+  std::function<void(std::size_t node, const std::string& folder)> before_voting;
   bool logs = true;   // nodes log in JSON, for the timeline
   std::string seams;  // the preloaded library's file, for wrong clocks and disks; or empty
 };
@@ -80,6 +87,11 @@
   void end_node(std::size_t i, int signal);
   void start_node(std::size_t i);
   int peer_port() const { return peer_port_; }
+  int voter_port() const { return voter_port_; }
+  // What has happened so far by script, and what a test wants on the timeline.
+  void note(const std::string& who, const std::string& kind, const std::string& what) {
+    happened_.push_back({now(), who, kind, what, {}});
+  }
   int machine(std::size_t member) const { return machines_[member]; }
   // What a node keeps; its process finds it in NETTLESTAND_STATE.
   StateFolder& state(std::size_t i) { return *states_[i]; }
@@ -100,6 +112,7 @@
   void await_end(std::size_t i, double back_at);
   void after(double seconds, std::function<void()> f);
   void note(const WorldFault& fault, const char* kind);
+  std::string duties_of(std::size_t i);
   void watch_starvation();
   void watch_loop();
 
@@ -129,6 +142,7 @@
   double began_ = 0, start_took_ = 0, next_look_ = 0, loop_asked_ = 0;
   std::atomic<bool> loop_answered_ = true;
   int peer_port_ = 0;    // of all nodes' sockets for each other
+  int voter_port_ = 0;   // where voters listen
   bool ending_ = false;  // what was to come ends now
 };
 
--- a/tests/duties/cluster.h
+++ b/tests/duties/cluster.h
@@ -170,13 +170,17 @@
         }
       }
       out.clear();
-      x.set_timer(x.now() + (voter ? 0.025 : 0.5), ++timers);
+      // Messages must not put the next tick off.
+      if (armed_for > x.now()) return;
+      armed_for = x.now() + (voter ? 0.025 : 0.5);
+      x.set_timer(armed_for, ++timers);
     }
     Cluster& c;
     const std::size_t i;
     const std::uint64_t life;
     std::unique_ptr<Voter> voter;
     Voter::Outs out;
+    double armed_for = -1;
     std::uint64_t timers = 0;
   };
 
@@ -242,7 +246,9 @@
         x.send(static_cast<emulator::ActorId>(client.way().target()), joined(hello, f));
       for (const Holding::Change& change : out.changes) c.changed(x.now(), i, life, change);
       out = {};
-      x.set_timer(x.now() + 0.02, ++timers);
+      if (armed_for > x.now()) return;
+      armed_for = x.now() + 0.02;
+      x.set_timer(armed_for, ++timers);
     }
     static constexpr std::uint64_t kEffect = ~std::uint64_t{0};
     Cluster& c;
@@ -251,7 +257,7 @@
     Client client;
     Client::Actions out;
     std::pair<std::string, Token> effect{"", 0};
-    double next_effect = 0;
+    double next_effect = 0, armed_for = -1;
     std::uint64_t timers = 0;
   };
 
--- /dev/null
+++ b/tests/duties/probe.cpp
@@ -0,0 +1,64 @@
+// A program that is run under a duty in tests: lets an effect land every few ms at a place that many share,
+// with the token that it was started with. Ends with 1 once it is turned away.
+//     probe PLACE EVERY_MS [STEP]
+// STEP: "slow": half of each effect's time lies between its check and where it lands; "fail": ends at once
+// with 3.
+#include <sys/prctl.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <thread>
+
+#include "duties/place.h"
+
+int main(int argc, char** argv) {
+  using namespace nettlestand::duties;
+  const char *duty = std::getenv("NETTLESTAND_DUTY"), *token = std::getenv("NETTLESTAND_TOKEN");
+  if (argc < 3 || duty == nullptr || token == nullptr) return 2;
+  const std::string step = argc > 3 ? argv[3] : "";
+  if (step == "fail") return 3;
+  const Token mine = std::strtoull(token, nullptr, 10);
+  const auto every = std::chrono::milliseconds(std::atoi(argv[2]));
+  const auto now = [] {
+    return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+  };
+  try {
+    Sqlite sql(argv[1], true, 10000);
+    sql.run("PRAGMA journal_mode=WAL");
+    sql.run("PRAGMA synchronous=OFF");
+    sql.run(
+        "CREATE TABLE IF NOT EXISTS effect(n INTEGER PRIMARY KEY, duty TEXT, token INTEGER, pid INTEGER, at "
+        "REAL)");
+    sql.run("CREATE TABLE IF NOT EXISTS away(n INTEGER PRIMARY KEY, duty TEXT, token INTEGER, at REAL)");
+    Place place(sql);
+    for (;;) {
+      if (step == "slow") std::this_thread::sleep_for(every / 2);
+      bool landed = false;
+      sql.transaction([&] {
+        landed = place.admit(duty, mine);
+        if (landed) {
+          Sqlite::Statement(sql, "INSERT INTO effect(duty, token, pid, at) VALUES(?1, ?2, ?3, ?4)")
+              .bind(1, std::string(duty))
+              .bind(2, mine)
+              .bind(3, static_cast<std::uint64_t>(getpid()))
+              .bind(4, now())
+              .run();
+        } else {
+          Sqlite::Statement(sql, "INSERT INTO away(duty, token, at) VALUES(?1, ?2, ?3)")
+              .bind(1, std::string(duty))
+              .bind(2, mine)
+              .bind(3, now())
+              .run();
+        }
+      });
+      if (!landed) return 1;
+      std::this_thread::sleep_for(step == "slow" ? every / 2 : every);
+    }
+  } catch (const std::exception& problem) {
+    std::fprintf(stderr, "probe: %s\n", problem.what());
+    return 4;
+  }
+}
--- /dev/null
+++ b/tests/duties/world.h
@@ -0,0 +1,169 @@
+// Worlds of processes that hold duties, with times so short that a test ends soon, and the rules over what
+// happened in them.
+#pragma once
+
+#include <algorithm>
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "daemon/control.h"
+#include "duties/agreement.h"
+#include "duties/place.h"
+#include "duties/store.h"
+#include "json/read.h"
+#include "report/book.h"
+#include "tests/process_worlds.h"
+
+namespace nettlestand::standins::testing {
+
+inline constexpr double kLease = 1;  // s; of the tests' duties
+
+struct DutiesWorld {
+  // What nodes share outside of the world: where effects land.
+  struct Shared {
+    Shared() {
+      std::string name = ::testing::TempDir() + "nettlestand_place_XXXXXX";
+      if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder");
+      path = name;
+    }
+    ~Shared() {
+      std::error_code ignored;
+      std::filesystem::remove_all(path, ignored);
+    }
+    std::string path;
+  } shared;
+  WorldSettings settings;
+
+  // `count` duties with the probe; `more`: further sections.
+  DutiesWorld(std::size_t nodes, std::size_t voters, std::size_t count, const std::string& step = "",
+              const std::string& more = "", const std::string& of_duty = "") {
+    settings = small_world(nodes, 2);
+    settings.peers = true;
+    settings.voters = voters;
+    settings.node.stage = 0;
+    settings.load.classes = {{"safe", CallEffect::kSafe, 1, 1, 0, 0}};
+    settings.load.rate = 5.0 * static_cast<double>(nodes);
+    settings.process.operator_file =
+        "[log]\nformat = \"json\"\nrepeats = 0\n[control]\nsocket = \"{state}/control\"\n";
+    settings.duties =
+        "election_ms = 300\nheartbeat_ms = 50\nask_ms = 200\nanswer_ms = 200\npatience_ms = 400\ntake_ms = "
+        "500\n"
+        "programs = true\n";
+    for (std::size_t i = 0; i < count; ++i) {
+      settings.duties += "[[duty]]\nname = \"d" + std::to_string(i) +
+                         "\"\nlease_ms = 1000\nstop_ms = 300\ncommand = [\"" + std::string(PROBE) + "\", \"" +
+                         shared.path + "/place.db\", \"20\"" + (step.empty() ? "" : ", \"" + step + "\"") +
+                         "]\n" + of_duty;
+    }
+    settings.duties += more;
+    settings.before_voting = [](std::size_t i, const std::string& folder) {
+      duties::SqliteStore::make(folder);
+      if (i != 0) return;
+      duties::SqliteStore store(folder);
+      duties::Agreement::found(store, "n0");
+    };
+  }
+};
+
+inline std::string control(ProcessWorld& w, std::size_t i, const std::string& command) {
+  try {
+    return ask_control(w.state(i).path() + "/control", command);
+  } catch (const std::exception& problem) {
+    return std::string("error: ") + problem.what();
+  }
+}
+
+// Adds the voters behind the first one. Throws where that fails.
+inline void add_voters(ProcessWorld& w, std::size_t voters) {
+  for (std::size_t i = 1; i < voters; ++i) {
+    std::string said;
+    const auto added = [&] {
+      said = control(w, 0, "duties voters add n" + std::to_string(i));
+      return said.rfind("error", 0) != 0;
+    };
+    if (!ProcessWorld::until(added, 20))
+      throw std::runtime_error("a voter can't be added: " + said + w.node(0).log() + w.node(i).log());
+  }
+}
+
+// Who holds each duty, as the asked node's way to the leader has it; empty: nobody, or no leader answered.
+inline std::map<std::string, std::string> holders(ProcessWorld& w, std::size_t asked) {
+  std::map<std::string, std::string> out;
+  const std::string said = control(w, asked, "duties");
+  if (said.rfind("error", 0) == 0) return out;
+  const rapidjson::Document in = quinceusher::json::parse(said);
+  for (const auto& d : in["duties"].GetArray()) out[d["duty"].GetString()] = d["holder"].GetString();
+  return out;
+}
+
+// What one node believes that it holds.
+inline std::map<std::string, std::uint64_t> held_by(ProcessWorld& w, std::size_t i) {
+  std::map<std::string, std::uint64_t> out;
+  const std::string said = control(w, i, "duties own");
+  if (said.rfind("error", 0) == 0) return out;
+  const rapidjson::Document in = quinceusher::json::parse(said);
+  for (const auto& d : in["duties"].GetArray()) {
+    if (d["held"].GetBool()) out[d["duty"].GetString()] = d["token"].GetUint64();
+  }
+  return out;
+}
+
+struct Effect {
+  std::string duty;
+  std::uint64_t token = 0, pid = 0;
+  double at = 0;
+};
+inline std::vector<Effect> effects(const DutiesWorld& d, const char* table = "effect") {
+  std::vector<Effect> out;
+  const std::string path = d.shared.path + "/place.db";
+  if (!std::filesystem::exists(path)) return out;
+  duties::Sqlite sql(path, false, 10000);
+  const bool away = std::string(table) == "away";
+  try {
+    duties::Sqlite::Statement all(sql, away ? "SELECT duty, token, 0, at FROM away ORDER BY n"
+                                            : "SELECT duty, token, pid, at FROM effect ORDER BY n");
+    while (all.row()) out.push_back({all.bytes(0), all.number(1), all.number(2), all.real(3)});
+  } catch (const duties::StoreError&) {  // not made yet
+  }
+  return out;
+}
+
+// The rules over the place and all logs: tokens only grow where effects land, each is one process's, each is
+// gained by one node, and from `from` on no duty is without an effect for longer than `most` s, until
+// `until`.
+inline std::string broken_duties(const DutiesWorld& d, const Timeline& t, double most = 0, double from = 0,
+                                 double until = 0) {
+  std::string out;
+  std::map<std::string, std::uint64_t> last;
+  std::map<std::uint64_t, std::uint64_t> pid;
+  std::map<std::string, double> seen;
+  for (const Effect& e : effects(d)) {
+    if (e.token < last[e.duty])
+      out += "an effect of " + e.duty + " by token " + std::to_string(e.token) + " came after one by " +
+             std::to_string(last[e.duty]) + "\n";
+    last[e.duty] = std::max(last[e.duty], e.token);
+    const auto [it, fresh] = pid.try_emplace(e.token, e.pid);
+    if (!fresh && it->second != e.pid)
+      out += "token " + std::to_string(e.token) + " was used by two processes\n";
+    if (most > 0 && e.at > from && e.at < until) {
+      const double before = std::max(from, seen.contains(e.duty) ? seen[e.duty] : from);
+      if (e.at - before > most)
+        out += e.duty + " was without an effect for " + std::to_string(e.at - before) + " s\n";
+    }
+    seen[e.duty] = e.at;
+  }
+  std::map<std::string, std::string> gained;  // by token: who
+  for (const TimelineEntry& e : t.entries) {
+    if (e.kind != "log" || e.what != "duties.gained") continue;
+    const auto token = e.fields.find("token");
+    if (token == e.fields.end()) continue;
+    const auto [it, fresh] = gained.try_emplace(token->second, e.who);
+    if (!fresh && it->second != e.who) out += "token " + token->second + " was gained by two nodes\n";
+  }
+  return out;
+}
+
+}  // namespace nettlestand::standins::testing
