--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -126,12 +126,12 @@
   }
 }
 
+#ifdef NETTLESTAND_WITH_DUTIES
 int say_error(const std::exception& problem) {
   std::fprintf(stderr, "nettlestand: %s\n", problem.what());
   return kCannotStart;
 }
 
-#ifdef NETTLESTAND_WITH_DUTIES
 // Duties and the fleet report: what the command line says of them, and what it does.
 class DutiesCommands {
  public:
