Print columns in one place, and play voters' messages doubled and a minute late

Change: util/columns, used by peers, duties and the report; a test in simulated time that delivers 3,000 recorded messages twice, to all voters and as from each, after another leader and a minute.

--- a/daemon/duties.cpp
+++ b/daemon/duties.cpp
@@ -8,6 +8,7 @@
 #include "duties/agreement.h"
 #include "json/read.h"
 #include "util/clock.h"
+#include "util/columns.h"
 
 namespace nettlestand {
 namespace {
@@ -22,21 +23,10 @@
   return zone < c.zones.size() ? c.zones[zone] : "";
 }
 
-std::string columns(std::vector<std::vector<std::string>> rows) {
+// By their first column.
+std::string sorted(std::vector<std::vector<std::string>> rows) {
   std::sort(rows.begin() + 1, rows.end());
-  std::vector<std::size_t> widths(rows[0].size());
-  for (const auto& row : rows) {
-    for (std::size_t i = 0; i < row.size(); ++i) widths[i] = std::max(widths[i], row[i].size());
-  }
-  std::string out;
-  for (const auto& row : rows) {
-    for (std::size_t i = 0; i < row.size(); ++i) {
-      out += row[i];
-      if (i + 1 < row.size()) out += std::string(widths[i] - row[i].size() + 2, ' ');
-    }
-    out += "\n";
-  }
-  return out;
+  return columns(rows);
 }
 
 std::string text(const json::Json& o, const char* field) {
@@ -181,7 +171,7 @@
     rows.push_back({text(d, "duty"), text(d, "holder"), std::to_string(json::token(d, "token")), lease.data(),
                     text(d, "cause"), text(d, "next")});
   }
-  return out + columns(std::move(rows));
+  return out + sorted(std::move(rows));
 }
 
 std::string voters_table(const std::string& report) {
@@ -194,7 +184,7 @@
     rows.push_back({text(v, "name"), text(v, "role"), text(v, "id"), text(v, "address"),
                     json::flag(v, "state_of_former_days") ? "OF FORMER DAYS: not listened to" : "-"});
   }
-  return out + columns(std::move(rows));
+  return out + sorted(std::move(rows));
 }
 
 }  // namespace nettlestand
--- a/daemon/peers_table.cpp
+++ b/daemon/peers_table.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "json/read.h"
+#include "util/columns.h"
 
 namespace nettlestand {
 namespace {
@@ -35,7 +36,7 @@
       whole(copies, "count") + (json::flag(copies, "followed") ? "" : " (not followed)") +
       (json::flag(in, "sealed") ? "" : ", not sealed") + ", health " + whole(in, "health") + "\n";
   if (json::flag(in, "refused")) out += "REFUSED: another process holds this name\n";
-  std::vector<std::array<std::string, 9>> rows = {
+  std::vector<std::vector<std::string>> rows = {
       {"member", "state", "for s", "heard s", "reached by", "doubted by", "zone", "tier", "address"}};
   for (const Json& m : json::array(in, "members").GetArray()) {
     rows.push_back({text(m, "name"), text(m, "state"), ago(m, "for_s"), ago(m, "heard_s"),
@@ -43,18 +44,7 @@
                     text(m, "address")});
   }
   std::sort(rows.begin() + 1, rows.end());
-  std::array<std::size_t, 9> widths{};
-  for (const auto& row : rows) {
-    for (std::size_t i = 0; i < row.size(); ++i) widths[i] = std::max(widths[i], row[i].size());
-  }
-  for (const auto& row : rows) {
-    for (std::size_t i = 0; i < row.size(); ++i) {
-      out += row[i];
-      if (i + 1 < row.size()) out += std::string(widths[i] - row[i].size() + 2, ' ');
-    }
-    out += "\n";
-  }
-  return out;
+  return out + columns(rows);
 }
 
 }  // namespace nettlestand
--- a/report/book.cpp
+++ b/report/book.cpp
@@ -10,6 +10,7 @@
 #include <stdexcept>
 
 #include "duties/place.h"
+#include "util/columns.h"
 
 namespace nettlestand::report {
 namespace {
@@ -180,19 +181,7 @@
            fixed(quantile(c, 0.5) * 1000, 1), fixed(quantile(c, 0.99) * 1000, 1)});
     }
   }
-  std::vector<std::size_t> widths(rows[0].size());
-  for (const auto& row : rows) {
-    for (std::size_t i = 0; i < row.size(); ++i) widths[i] = std::max(widths[i], row[i].size());
-  }
-  std::string out;
-  for (const auto& row : rows) {
-    for (std::size_t i = 0; i < row.size(); ++i) {
-      out += row[i];
-      if (i + 1 < row.size()) out += std::string(widths[i] - row[i].size() + 2, ' ');
-    }
-    out += "\n";
-  }
-  return out;
+  return columns(rows);
 }
 
 void plot(const std::vector<Period>& periods, const std::string& file) {
--- a/tests/duties/parts_test.cpp
+++ b/tests/duties/parts_test.cpp
@@ -501,6 +501,49 @@
   }
 }
 
+TEST(DutiesAgreement, MessagesThatComeTwiceAndAMinuteLateChangeNothing) {
+  ClusterSettings s;
+  s.duties = {{"d0", 1, {}, {}, {}}};
+  Cluster c(s, 21);
+  ASSERT_TRUE(c.start());
+  std::vector<std::string> seen;
+  c.listen = [&](const std::string& bytes) {
+    if (seen.size() < 3000) seen.push_back(bytes);
+  };
+  c.run(5);
+  // Another leader, and another holder, while the old words are under way.
+  c.sim.kill(static_cast<emulator::ActorId>(c.leader()->i));
+  c.run(5);
+  for (emulator::ActorId v = 0; v < 3; ++v) c.sim.start(v);
+  c.run(50);
+  c.listen = {};
+  ASSERT_TRUE(c.all_held());
+  const std::uint64_t term = c.leader()->voter->agreement().term();
+  const Token token = c.leader()->voter->agreement().table().last_token();
+  for (int twice = 0; twice < 2; ++twice) {
+    for (const std::string& bytes : seen) {
+      for (std::size_t to = 0; to < 3; ++to) {
+        for (std::size_t from = 0; from < 3; ++from) {
+          if (from == to || c.voter(to)->voter->failed()) continue;
+          Frame f;
+          f.kind = Frame::Kind::kRaft;
+          f.bytes = bytes;
+          Voter::Outs outs;
+          c.voter(to)->voter->from_voter(100 + c.sim.now(), c.voter(from)->voter->agreement().id(),
+                                         "v" + std::to_string(from), f, outs);
+        }
+      }
+    }
+    c.run(1);
+  }
+  for (int i = 0; i < 300 && !c.all_held(); ++i) c.run(0.02);
+  EXPECT_EQ(c.broken, "");
+  EXPECT_TRUE(c.all_held());
+  ASSERT_NE(c.leader(), nullptr);
+  EXPECT_GE(c.leader()->voter->agreement().term(), term);
+  EXPECT_GE(c.leader()->voter->agreement().table().last_token(), token);
+}
+
 // ------------------------------------------------------------ the report's book
 
 TEST(DutiesBook, CountsNothingTwiceAndLosesNothingWhoeverWrites) {
