Say once how the report gives up, and drop a parameter that nothing reads

Need: a last read of the change found the same seven lines twice in report/reporter.cpp, an unread time in Keeper::order, and a comment on errors at the wrong name in duties/wire.h.

--- a/duties/keeper.cpp
+++ b/duties/keeper.cpp
@@ -83,7 +83,7 @@
     c.name = r.duty;
     c.duty = r.settings;
     c.node.name = r.to.empty() ? kAnyOther : r.to;
-    return order(now, from, r.seq, std::move(c), out);
+    return order(from, r.seq, std::move(c), out);
   }
   const Lease* lease = table_->find(r.duty);
   if (lease == nullptr) {
@@ -158,7 +158,7 @@
   out.barriers.push_back(last_barrier_);
 }
 
-void Keeper::order(double now, Client from, std::uint64_t seq, Command command, Actions& out) {
+void Keeper::order(Client from, std::uint64_t seq, Command command, Actions& out) {
   const Refusal why = table_->check(command);
   if (why != Refusal::kNone) {
     Reply reply;
@@ -181,7 +181,6 @@
   }
   operators_.push_back({from, seq, command});
   out.propose.push_back(std::move(command));
-  static_cast<void>(now);
 }
 
 void Keeper::gone(Client client) {
--- a/duties/keeper.h
+++ b/duties/keeper.h
@@ -106,7 +106,7 @@
   double lapses(const Lease& lease, const Watched& watched) const;
   void confirm(double now, Actions& out);
   void renew(double now, Client from, const Request& r, Actions& out);
-  void order(double now, Client from, std::uint64_t seq, Command command, Actions& out);
+  void order(Client from, std::uint64_t seq, Command command, Actions& out);
   void propose(double now, Watched& watched, Command command, Actions& out);
   void deal(double now, const Lease& lease, Watched& watched, Actions& out);
   const Asker* best(double now, const Lease& lease, const Watched& watched, bool& worth_waiting) const;
--- a/duties/wire.h
+++ b/duties/wire.h
@@ -21,7 +21,7 @@
 constexpr std::size_t kMostTogether = 8192;            // requests or replies in one frame
 constexpr std::size_t kNonce = 16;                     // bytes
 
-// 32 bytes each, none to two: the first one seals, all are taken. Throws std::runtime_error.
+// 32 bytes each, none to two: the first one seals, all are taken.
 struct Keys {
   std::vector<std::string> keys;
 };
@@ -33,7 +33,8 @@
 // One connection's two directions of frames.
 class Channel {
  public:
-  // `nonce`: this side's, kNonce random bytes; `most`: bytes that a frame from the other side may have.
+  // Throws std::runtime_error for keys or a nonce of another length. `nonce`: this side's, kNonce random
+  // bytes; `most`: bytes that a frame from the other side may have.
   Channel(const Keys& keys, std::string nonce, std::size_t most);
 
   // The bytes of the next frame this way. Anything but a hello needs the other side's hello first.
--- a/report/reporter.cpp
+++ b/report/reporter.cpp
@@ -78,16 +78,17 @@
     asio::post(loop_, [this, token, in, problem, alive] {
       if (!*alive || token != token_) return;
       if (problem.empty()) return await_period(in);
-      log_({LogLevel::kError,
-            "report",
-            "book_failed",
-            "the report can't be written: " + problem,
-            {{"why", problem}}});
-      duties_.failed(kDuty);
+      give_up(problem);
     });
   });
 }
 
+// Somebody else is to try.
+void Reporter::give_up(const std::string& why) {
+  log_({LogLevel::kError, "report", "book_failed", "the report can't be written: " + why, {{"why", why}}});
+  duties_.failed(kDuty);
+}
+
 void Reporter::await_period(double in) {
   period_.expires_after(duration(in));
   period_.async_wait([this, alive = alive_](const error_code& error) {
@@ -150,12 +151,7 @@
           if (!*alive) return;
           writing_ = false;
           if (!problem.empty()) {
-            log_({LogLevel::kError,
-                  "report",
-                  "book_failed",
-                  "the report can't be written: " + problem,
-                  {{"why", problem}}});
-            duties_.failed(kDuty);
+            give_up(problem);
           } else if (written == Book::Written::kStale) {
             log_({LogLevel::kWarning,
                   "report",
--- a/report/reporter.h
+++ b/report/reporter.h
@@ -42,6 +42,7 @@
   void await_tell();
   void await_period(double in);
   void gather();
+  void give_up(const std::string& why);
   void write(const std::vector<duties::Reply>& replies);
 
   boost::asio::io_context& loop_;
