Let in who waits once another is idle, and ask the same discovery at once after SIGHUP

Cause, found by reading: a full listener waited for a connection to close before it accepted again, also where what was busy had become idle meanwhile (http/listener.cpp, accept: 'the next one that closes accepts'), for up to the 20 s that idle connections are kept; SIGHUP with the address that discovery has left a pause between two calls as it was (discovery/discovery.cpp, move). Measured: Ends.WhoWaits... and Lists.TheSameAddress... fail on the untouched program and pass, for both customers.

--- a/discovery/discovery.cpp
+++ b/discovery/discovery.cpp
@@ -148,7 +148,11 @@
 // Guards the drains and the list over a move: the new address is asked at once and for the whole list, since
 // its versions need not be those of the old one, and nothing is given up before it has spoken.
 void Discovery::move(const boost::asio::ip::tcp::endpoint& address) {
-  if (address == address_ || shut_) return;
+  if (shut_) return;
+  if (address == address_) {  // asked at once all the same, where it has failed and a pause is on
+    if (!moving_) return watch();
+    if (next_) return;
+  }
   const std::string to = address.address().to_string() + ":" + std::to_string(address.port());
   log_({LogLevel::kInfo, "discovery", "moved", "discovery: moves to " + to, {{"address", to}}});
   address_ = address;
--- a/http/listener.cpp
+++ b/http/listener.cpp
@@ -470,6 +470,7 @@
     const std::shared_ptr<Connection> next = *it++;
     next->end_if_slow(limits_.read);
   }
+  if (full_) accept();  // what was busy when somebody wanted in may be idle by now
   sweep_.expires_after(kSweepPeriod);
   sweep_.async_wait([this](const error_code& error) {
     if (!error) sweep();
--- a/tests/acceptance/closes_test.cpp
+++ b/tests/acceptance/closes_test.cpp
@@ -108,6 +108,29 @@
   EXPECT_EQ(w.node->exit_code(), 0);
 }
 
+// Every place is taken by who waits for an answer or is sending: who wants in does so once one of them is
+// idle.
+TEST_P(Ends, WhoWaitsToComeInDoesSoOnceAnotherIsIdle) {
+  Place w(GetParam());
+  w.sockets = 100;  // 33 for callers, 27 for servers
+  w.serve(host("s0", w.servers[0].port()));
+  std::vector<Wire> busy, servers, sending;
+  for (int i = 0; i < 27; ++i) {
+    busy.push_back(w.client());
+    busy.back().send(w.unsafe("question", "r" + std::to_string(i)));
+    servers.push_back(w.servers[0].accept());
+  }
+  for (int i = 0; i < 6; ++i) {
+    sending.push_back(w.client());
+    sending.back().send("GET /healthz HTTP/1.1\r\n");
+    sending.back().await_reading();
+  }
+  Wire late = w.client();
+  late.send("GET /healthz HTTP/1.1\r\n\r\n");
+  for (const Wire& one : sending) one.send("\r\n");
+  EXPECT_TRUE(has(late.message(), " 200 "));
+}
+
 // SIGTERM finds requests that wait for their answer, are half written, half read, pipelined, and some come
 // after it: each gets its answer within its time, and each connection ends in order.
 TEST_P(Ends, WhatSigtermFindsIsAnswered) {
--- a/tests/acceptance/discovery_test.cpp
+++ b/tests/acceptance/discovery_test.cpp
@@ -71,6 +71,27 @@
   }
 }
 
+// SIGHUP with the address it has, in a pause between two calls: discovery is asked at once.
+TEST_P(Lists, TheSameAddressAnewIsAskedAtOnce) {
+  Customer customer = GetParam();
+  customer.ask_within = 60;
+  Place w(customer);
+  w.serve(host("s0", w.servers[0].port()));
+  w.watch.close();
+  for (int i = 0; i < 4; ++i) {  // so that the pause is long where calls cost
+    Wire call = w.discovery.accept();
+    call.message();
+    call.send(with_length("HTTP/1.1 503 Busy\r\n", ""));
+    EXPECT_TRUE(call.ended());
+  }
+  const double from = seconds();
+  w.node->reload(w.config());
+  w.take_watch();
+  EXPECT_LT(seconds() - from, 0.9) << "a second at least without it, where calls cost";
+  w.tell(list(9, true, host("s1", w.servers[1].port())));
+  w.watch.await_reading();
+}
+
 // What serves now, whichever connection it keeps.
 std::string served(Place& w, const Peer& server) {
   Wire caller = w.client();
