Start a node once where two faults of a script have killed it

Checked: the caller's connection closed as the first fault ended, when the node had been back for 0.3 s. At fault: ProcessWorld::start_node (standins/world/world.cpp) put a new process in the place of the running one, whose destructor killed it with no record of its death, so that the checker held what it had taken against it. Whether the parent's program would have met a request at that moment was not measured. Change: a node that runs is not started again.

--- a/standins/world/world.cpp
+++ b/standins/world/world.cpp
@@ -218,7 +218,10 @@
   return out;
 }
 
+// A node that two faults have killed is back with the first of their ends. Guards the verdict: in its place
+// another process would start, and this one would be gone with no word of its death in the records.
 void ProcessWorld::start_node(std::size_t i) {
+  if (nodes_[i]) return;
   nodes_[i] = std::make_unique<NodeProcess>(s_.binary, config_of(i), options_of(i));
   seen_[i] = {};
 }
--- a/tests/lab/world_test.cpp
+++ b/tests/lab/world_test.cpp
@@ -146,6 +146,18 @@
   EXPECT_GT(served(t), 20U);
 }
 
+// The second fault ends when the node has been back for a while: it must stay, and not die for another with
+// what it holds, and with no word of that in the records.
+TEST(World, ANodeThatTwoFaultsHaveKilledIsStartedOnce) {
+  WorldSettings s = settings(2, 2);
+  s.load.rate *= 4;
+  ProcessWorld w(s);
+  w.start();
+  w.play("at 0.1 n0: kill for 0.2\nat 0.2 n0: kill for 0.8\nat 0 s0,s1: late 0.1", 1.6);
+  const Timeline t = w.finish();
+  EXPECT_EQ(broken_rules(four_rules(w.checked()), t), "");
+}
+
 TEST(World, APauseAcrossDeadlinesLosesNothingThatCanBeAnswered) {
   VERDICT(play_unstarved(3, is_void, [](Starvation& starvation) {
     WorldSettings s = settings(2, 2);
