--- a/discovery/discovery.cpp
+++ b/discovery/discovery.cpp
@@ -21,10 +21,11 @@
 // whatever came in between. So silence is noticed, and a call that comes to nothing is given up, soon enough
 // for another call within that time.
 constexpr auto kConnectLimit = std::chrono::seconds(2);
-constexpr auto kAnswerLimit = std::chrono::seconds(3);    // calls wait in discovery's queue
-constexpr auto kSilenceLimit = std::chrono::seconds(3);   // an empty line's period of 2 s, and half of that
-constexpr std::size_t kLineOfServer = 512;                // bytes of a list, for each server there may be
-constexpr double kFirstBackoff = 0.25, kMostBackoff = 1;  // s; all that is there counts 4 s after a move
+constexpr auto kAnswerLimit = std::chrono::seconds(3);   // calls wait in discovery's queue
+constexpr auto kSilenceLimit = std::chrono::seconds(3);  // an empty line's period of 2 s, and half of that
+constexpr std::size_t kLineOfServer = 512;               // bytes of a list, for each server there may be
+// s. Where a fleet that has lost discovery asks more often, its calls keep discovery busy and all fail.
+constexpr double kFirstBackoff = 0.25, kMostBackoff = 4;
 
 }  // namespace
 
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -71,7 +71,7 @@
 constexpr std::size_t kLooks = 16;   // so many by chance,
 constexpr std::size_t kSample = 4;   // until so many are found that can be used
 constexpr double kRewatch = 0.5;     // s; first wait before asking for the members again, then doubled
-constexpr double kMostRewatch = 2;   // s; what is there to be told counts as told 6 s later, come what may
+constexpr double kMostRewatch = 4;   // s; all counts as told 6 s later, a call waits 2; less jams discovery
 constexpr double kLogPeriod = 5;     // s; least time between two log lines of a kind
 constexpr std::uint64_t kWatchTimer = 0;
 
