Test that a further attempt does not overtake a cancel that waits its turn

Need: the library's side of Caller::left() had no test. Change: a test that has the loop told of the server's answer first and of the cancel in between.

--- a/tests/library/hard_cases_test.cpp
+++ b/tests/library/hard_cases_test.cpp
@@ -1,5 +1,6 @@
 // Cancels, ends and throws at the worst moments.
 #include <atomic>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <future>
 #include <thread>
@@ -71,6 +72,39 @@
   io.run();
 }
 
+// The loop has been told of both by the system: first it runs what cancels, then what the server has said.
+// The cancel itself waits its turn behind that, and the request must not be sent again meanwhile.
+TEST(Cancel, AFurtherAttemptDoesNotOvertakeACancelThatWaitsItsTurn) {
+  Peer a, b;
+  asio::io_context io;
+  auto gateway = open_on(io, options({a.port(), b.port()}));
+  Answers answers;
+  const Ticket ticket = gateway->submit(request("close"), answers.next());
+  while (a.quiet() && b.quiet()) io.run_one();
+  Wire wire = Peer::accept_either(a, b);
+  while (wire.quiet()) io.run_one();
+  wire.message();
+  io.poll();
+  Peer trigger;
+  asio::ip::tcp::socket told(io);
+  told.connect({asio::ip::address_v4::loopback(), static_cast<unsigned short>(trigger.port())});
+  const Wire other = trigger.accept();
+  told.async_wait(asio::socket_base::wait_read,
+                  [&](const boost::system::error_code&) { EXPECT_TRUE(gateway->cancel(ticket)); });
+  io.poll();
+  other.send("x");  // ready first
+  other.await_delivery();
+  wire.send("HTTP/1.1 503 Busy\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+  wire.await_delivery();
+  while (answers.count() == 0) io.run_one();
+  io.poll();
+  EXPECT_EQ(answers.one().outcome, Outcome::kCancelled);
+  EXPECT_TRUE(wire.quiet() && a.quiet(50) && b.quiet(50)) << "neither there again nor elsewhere";
+  gateway.reset();
+  io.restart();
+  io.run();
+}
+
 // Ten connections carry ten requests; ten more wait for room. Cancelling the first ten lets the others go.
 TEST(Cancel, TheQueueBehindMovesOnAtOnce) {
   Peer peer;
