--- a/core/transport.h
+++ b/core/transport.h
@@ -59,8 +59,8 @@
   virtual void attach(Sink& sink) = 0;
 
   // Starts an attempt of `timeout` s at a server that apply() has told of; where it has not, the attempt ends
-  // as not sent. Where its last byte is not written within `within` s it never is, and it ends as one that
-  // reached no server. Exactly one outcome follows.
+  // as not sent. Where its last byte is not written within `within` s it never is, and it ends as not
+  // sent. Exactly one outcome follows.
   virtual void start(const AttemptId& attempt, const std::string& server,
                      std::shared_ptr<const Cargo> request, double timeout, double within) = 0;
   // Gives an attempt so many seconds from now on.
