Hold the voters' ports of a test's world, so that no node's listener is given one

A world asked the kernel for a free port, let go of it, and told all nodes that voters listen there; a node's own listener, which asks for any port of the same address, can be given just that one. Excluded: other worlds (each has a part of 127.0.0.0/8 behind a lock), connections (from other addresses), datagram sockets (one a node). Lines: free_port() in standins/world/world.cpp. Change: the world keeps the port at each voter's address, bound and not listening, while it lives; who names it may still listen there.

--- a/standins/world/world.cpp
+++ b/standins/world/world.cpp
@@ -1,9 +1,6 @@
 #include "standins/world/world.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/resource.h>
-#include <sys/socket.h>
 
 #include <algorithm>
 #include <atomic>
@@ -26,20 +23,6 @@
 constexpr double kMostLate = 0.1;     // s; later than that, and a run is void
 constexpr double kMostWaited = 0.25;  // s of that, beyond which a run is void
 
-// A port that the kernel gives; the addresses it is used at are the network's own.
-int free_port(const std::string& ip, int kind) {
-  const Fd socket(::socket(AF_INET, kind | SOCK_CLOEXEC, 0));
-  sockaddr_in at{};
-  at.sin_family = AF_INET;
-  inet_pton(AF_INET, ip.c_str(), &at.sin_addr);
-  socklen_t size = sizeof at;
-  if (bind(socket.get(), reinterpret_cast<const sockaddr*>(&at), size) != 0 ||
-      getsockname(socket.get(), reinterpret_cast<sockaddr*>(&at), &size) != 0) {
-    throw std::runtime_error("no port to be had");
-  }
-  return ntohs(at.sin_port);
-}
-
 }  // namespace
 
 ProcessWorld::ProcessWorld(WorldSettings settings) : s_(std::move(settings)) {
@@ -82,7 +65,7 @@
     }
   }
   if (s_.peers) {
-    peer_port_ = free_port(network_->ip(machines_[node_members_[0]]), SOCK_DGRAM);
+    peer_port_ = address_of(datagrams_at({network_->ip(machines_[node_members_[0]]), 0}).get()).port;
     for (std::size_t i = 0; i < s_.nodes; ++i) {
       for (std::size_t j = 0; j < i; ++j) {
         network_->udp(machines_[node_members_[i]], peer_port_, machines_[node_members_[j]], peer_port_);
@@ -90,7 +73,11 @@
     }
   }
   if (s_.voters > 0) {
-    voter_port_ = free_port(network_->ip(machines_[node_members_[0]]), SOCK_STREAM);
+    // Held while the world lives: the kernel would give it to a node's own listener, which asks for any port.
+    for (std::size_t j = 0; j < s_.voters; ++j) {
+      voter_ports_.push_back(listen_on(Address{network_->ip(machines_[node_members_[j]]), voter_port_}, -1));
+      voter_port_ = port_of(voter_ports_.back().get());
+    }
     for (std::size_t i = 0; i < s_.nodes; ++i) {
       for (std::size_t j = 0; j < s_.voters; ++j) {
         if (i != j) network_->tcp(machines_[node_members_[i]], machines_[node_members_[j]], voter_port_);
--- a/standins/world/world.h
+++ b/standins/world/world.h
@@ -141,8 +141,9 @@
   Starvation starvation_;
   double began_ = 0, start_took_ = 0, next_look_ = 0, loop_asked_ = 0;
   std::atomic<bool> loop_answered_ = true;
-  int peer_port_ = 0;    // of all nodes' sockets for each other
-  int voter_port_ = 0;   // where voters listen
+  int peer_port_ = 0;   // of all nodes' sockets for each other
+  int voter_port_ = 0;  // where voters listen
+  std::vector<Fd> voter_ports_;
   bool ending_ = false;  // what was to come ends now
 };
 
--- a/tests/lab/world_test.cpp
+++ b/tests/lab/world_test.cpp
@@ -158,6 +158,22 @@
   EXPECT_EQ(broken_rules(four_rules(w.checked()), t), "");
 }
 
+// Voters listen where their world has told all nodes; whatever asks the kernel for any port must not get that
+// one. Each try meets it with a chance of one in fourteen thousand.
+TEST(World, AVotersPortIsGivenToNobodyElse) {
+  WorldSettings settings = small_world(3, 1);
+  settings.voters = 3;
+  ProcessWorld w(settings);
+  for (std::size_t i = 0; i < 3; ++i) {
+    const std::string ip = w.config_of(i).ip;
+    for (int tries = 0; tries < 150'000; ++tries) {
+      const Fd given = listen_on(Address{ip, 0}, -1);
+      ASSERT_NE(port_of(given.get()), w.voter_port()) << ip;
+    }
+    EXPECT_TRUE(listen_on(Address{ip, w.voter_port()})) << "the voter itself may listen there";
+  }
+}
+
 TEST(World, APauseAcrossDeadlinesLosesNothingThatCanBeAnswered) {
   VERDICT(play_unstarved(3, is_void, [](Starvation& starvation) {
     WorldSettings s = settings(2, 2);
