Decide how much of each zone's demand goes where: plans and their followers

No I/O, not part of the program; nothing of the build line changes. Found by the exhaustive test on the way: demand served by capacity that did not count yet was moved away and came back a second later; such capacity now counts once it serves.

--- /dev/null
+++ b/tests/zones/follower_test.cpp
@@ -0,0 +1,220 @@
+// What a node does with plans, and without one.
+#include "zones/follower.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+#include <stdexcept>
+
+namespace nettlestand::zones {
+namespace {
+
+const std::vector<Hold> kClasses = {Hold::kNone, Hold::kZone};
+const std::vector<double> kDistance = {0, 1, 8};
+
+Facts facts(double at, const std::vector<Load>& capacity, const std::vector<std::vector<Load>>& demand) {
+  Facts out;
+  out.at = at;
+  const char* const names[] = {"a", "b", "c"};
+  for (std::size_t i = 0; i < 3; ++i) out.zones.push_back({names[i], "west", capacity[i], 1, demand[i]});
+  out.distance = {{0, 1, 8}, {1, 0, 7}, {8, 7, 0}};
+  return out;
+}
+
+PlannerSettings planner_settings() {
+  PlannerSettings out;
+  out.classes = kClasses;
+  return out;
+}
+
+// What a holder of the duty makes of zones of which the first is lost.
+Plan plan_of(std::uint64_t token, std::uint64_t epoch, double lease = 3) {
+  Planner planner(planner_settings());
+  Plan out;
+  for (int i = 0; i < 4; ++i) {
+    out = planner.decide(facts(i, {0, 100'000, 100'000}, {{40'000, 10'000}, {60'000, 0}, {50'000, 0}}));
+  }
+  out.token = token;
+  out.epoch = epoch;
+  out.lease = lease;
+  return out;
+}
+
+FollowerSettings in(const std::string& zone) { return {zone, kClasses, 10}; }
+
+TEST(Follower, TakesNewerPlansAloneInWhateverOrderTheyCome) {
+  std::vector<std::pair<std::uint64_t, std::uint64_t>> order = {{1, 1}, {1, 2}, {2, 1}, {2, 9}, {3, 1}};
+  do {
+    Follower follower(in("a"));
+    auto newest = std::pair<std::uint64_t, std::uint64_t>(0, 0);
+    for (const auto& [token, epoch] : order) {
+      const bool newer = std::pair(token, epoch) > newest;
+      ASSERT_EQ(follower.offer(plan_of(token, epoch), 0, 10), newer);
+      if (newer) newest = {token, epoch};
+      ASSERT_FALSE(follower.offer(plan_of(token, epoch), 0, 10)) << "twice the same";
+      ASSERT_EQ(follower.plan(10)->token, newest.first);
+      ASSERT_EQ(follower.plan(10)->epoch, newest.second);
+    }
+  } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST(Follower, FollowsAPlanForItsLeaseFromWhenItWasMade) {
+  Follower follower(in("a"));
+  EXPECT_EQ(follower.plan(0), nullptr);
+  EXPECT_EQ(follower.until(), std::numeric_limits<double>::infinity());
+  ASSERT_TRUE(follower.offer(plan_of(1, 1, 3), 1, 10));
+  EXPECT_NE(follower.plan(11.9), nullptr);
+  EXPECT_EQ(follower.until(), 12);
+  EXPECT_EQ(follower.age(11), 2) << "to be handed on with it";
+  EXPECT_EQ(follower.plan(12), nullptr);
+  EXPECT_FALSE(follower.shares(1, 1, kDistance, 12).planned);
+  // One that has lapsed on its way is known, and not followed.
+  ASSERT_TRUE(follower.offer(plan_of(1, 2, 3), 5, 13));
+  EXPECT_EQ(follower.plan(13), nullptr);
+  EXPECT_FALSE(follower.offer(plan_of(1, 1, 3), 0, 13));
+}
+
+TEST(Follower, SendsItsDemandWhereThePlanHasIt) {
+  Follower follower(in("a"));
+  ASSERT_TRUE(follower.offer(plan_of(1, 1), 0, 10));
+  const Shares s = follower.shares(1, 1, kDistance, 10);
+  EXPECT_TRUE(s.planned);
+  EXPECT_EQ(s.zones, (std::vector<std::string>{"a", "b", "c"}));
+  EXPECT_EQ(s.to[0], (std::vector<double>{0, 0.75, 0.25})) << "30 of 40 to b, up to its head-room, 10 to c";
+  EXPECT_EQ(s.to[1], (std::vector<double>{0, 0, 0})) << "held to its zone: refused rather than moved";
+  Follower other(in("b"));
+  ASSERT_TRUE(other.offer(plan_of(1, 1), 0, 10));
+  EXPECT_EQ(other.shares(1, 1, {1, 0, 7}, 10).to[0], (std::vector<double>{0, 1, 0}));
+  EXPECT_EQ(other.shares(1, 1, {1, 0, 7}, 10).to[1], (std::vector<double>{0, 1, 0}))
+      << "nobody asked for it: near";
+}
+
+// Ten times the demand, and no new plan yet: others get what they were to get, and no more.
+TEST(Follower, WhatGoesToOthersDoesNotGrowWithTheDemand) {
+  Follower follower(in("a"));
+  ASSERT_TRUE(follower.offer(plan_of(1, 1), 0, 10));
+  const Shares s = follower.shares(1, 10, kDistance, 10);
+  EXPECT_NEAR(s.to[0][1], 0.075, 1e-9);
+  EXPECT_NEAR(s.to[0][2], 0.025, 1e-9);
+  EXPECT_NEAR(s.to[0][0], 0.9, 1e-9);
+  EXPECT_EQ(follower.shares(1, 0.1, kDistance, 10).to[0], follower.shares(1, 1, kDistance, 10).to[0]);
+}
+
+TEST(Follower, WithoutAPlanAllStaysNear) {
+  const Follower follower(in("a"));
+  const Shares s = follower.shares(0, 1, kDistance, 10);
+  EXPECT_FALSE(s.planned);
+  EXPECT_EQ(s.zones, std::vector<std::string>{"a"});
+  EXPECT_EQ(s.to, (std::vector<std::vector<double>>{{1}, {1}}));
+}
+
+// Whatever each of them sees, however many of them lost their plan, and however long ago.
+TEST(Follower, AllAloneTogetherStayWithinWhatTargetsWereLastKnownToBear) {
+  for (unsigned seed = 1; seed <= 300; ++seed) {
+    std::mt19937_64 random(seed);
+    const auto draw = [&](std::uint64_t below) { return static_cast<Load>(random() % below); };
+    std::vector<Load> capacity;
+    std::vector<std::vector<Load>> demand;
+    for (int i = 0; i < 3; ++i) {
+      capacity.push_back(draw(2) == 0 ? 0 : draw(200'000));
+      demand.push_back({draw(100'000), draw(30'000)});
+    }
+    Planner planner(planner_settings());
+    Plan plan;
+    Facts f;
+    for (int i = 0; i < 4; ++i) plan = planner.decide(f = facts(i, capacity, demand));
+    plan.token = plan.epoch = 1;
+    plan.lease = 3;
+    std::vector<double> into(3);
+    std::vector<double> last(9, 2);
+    for (double at = 3; at < 60; at += 7) {
+      std::fill(into.begin(), into.end(), 0);
+      for (std::size_t a = 0; a < 3; ++a) {
+        Follower follower(in(plan.zones[a]));
+        ASSERT_TRUE(follower.offer(plan, 0, 0));
+        const double near = static_cast<double>(draw(11)) / 10, growth = static_cast<double>(draw(100)) / 10;
+        const Shares s = follower.shares(near, growth, f.distance[a], at);
+        ASSERT_FALSE(s.planned);
+        for (std::size_t c = 0; c < 2; ++c) {
+          double all = 0;
+          for (std::size_t b = 0; b < 3; ++b) {
+            ASSERT_GE(s.to[c][b], 0);
+            all += s.to[c][b];
+            into[b] += s.to[c][b] * static_cast<double>(demand[a][c]) * growth * (a == b ? 0 : 1);
+          }
+          ASSERT_LE(all, 1 + 1e-9);
+        }
+        // All of what is near fails: the most that it may send, and never more as time goes by.
+        const Shares most = follower.shares(0, 1, f.distance[a], at);
+        double away = 0;
+        for (std::size_t b = 0; b < 3; ++b) away += b == a ? 0 : most.to[0][b];
+        ASSERT_LE(away, last[a] + 1e-9);
+        last[a] = away;
+      }
+      for (std::size_t b = 0; b < 3; ++b) {
+        Load own = 0;
+        for (const auto& to : plan.load[b]) own += to[b];
+        ASSERT_LE(into[b] + static_cast<double>(own), static_cast<double>(capacity[b]) + 1e-6) << seed;
+      }
+    }
+  }
+}
+
+TEST(Follower, AwayGoesOnlyWhatFailsNearAndTheNearestWayFirst) {
+  Follower follower(in("a"));
+  ASSERT_TRUE(follower.offer(plan_of(1, 1, 3), 0, 0));
+  EXPECT_EQ(follower.shares(1, 1, kDistance, 3).to[0], (std::vector<double>{1, 0, 0}));
+  const Shares half = follower.shares(0.9, 1, kDistance, 3);
+  EXPECT_NEAR(half.to[0][1], 0.1, 1e-9);
+  EXPECT_EQ(half.to[0][2], 0);
+  EXPECT_EQ(follower.shares(0, 1, {0, kUnreached, 8}, 3).to[0][1], 0)
+      << "where nothing gets through nothing goes";
+}
+
+TEST(Follower, WhatIsHeldStaysWhereItIsHeldAlsoWithoutAPlan) {
+  PlannerSettings settings;
+  settings.classes = {Hold::kNone, Hold::kRegion, Hold::kZone};
+  Planner planner(settings);
+  Facts f = facts(0, {100'000, 100'000, 100'000}, {{20'000, 20'000, 20'000}, {0, 0, 0}, {0, 0, 0}});
+  f.zones[2].region = "east";
+  Plan plan = planner.decide(f);
+  plan.token = plan.epoch = 1;
+  plan.lease = 3;
+  Follower follower({"a", settings.classes, 10});
+  ASSERT_TRUE(follower.offer(plan, 0, 0));
+  // The nearest target is the one in the other region, and has room.
+  const Shares s = follower.shares(0, 1, {0, 8, 1}, 3);
+  EXPECT_EQ(s.to[0], (std::vector<double>{0, 0, 1}));
+  EXPECT_EQ(s.to[1], (std::vector<double>{0, 1, 0}));
+  EXPECT_EQ(s.to[2], (std::vector<double>{0, 0, 0}));
+  EXPECT_EQ(follower.shares(0, 1, {0, 1, 8}, 3).to[1], (std::vector<double>{0, 1, 0}));
+}
+
+TEST(Follower, TurnsAwayWhatIsNoPlan) {
+  Follower follower(in("a"));
+  ASSERT_TRUE(follower.offer(plan_of(5, 5), 0, 10));
+  for (const auto& spoil : std::vector<void (*)(Plan&)>{
+           [](Plan& p) { p.token = 0; }, [](Plan& p) { p.lease = 0; },
+           [](Plan& p) { p.lease = std::nan(""); }, [](Plan& p) { p.load.pop_back(); },
+           [](Plan& p) { p.load[1].pop_back(); }, [](Plan& p) { p.load[1][0].push_back(3); },
+           [](Plan& p) { p.load[2][1][0] = -1; }, [](Plan& p) { p.refused[0].clear(); },
+           [](Plan& p) { p.alone[0][0] = -1; }, [](Plan& p) { p.alone.clear(); },
+           [](Plan& p) { p.regions.pop_back(); },
+           [](Plan& p) {
+             p.zones = {"x", "y", "z"};
+           }}) {
+    Plan plan = plan_of(9, 9);
+    spoil(plan);
+    EXPECT_FALSE(follower.offer(plan, 0, 10));
+    EXPECT_EQ(follower.plan(10)->token, 5U);
+  }
+  EXPECT_FALSE(follower.offer(plan_of(9, 9), -1, 10));
+  EXPECT_FALSE(follower.offer(plan_of(9, 9), std::nan(""), 10));
+  EXPECT_THROW(Follower({"", kClasses, 10}), std::invalid_argument);
+  EXPECT_THROW(Follower({"a", kClasses, 0}), std::invalid_argument);
+}
+
+}  // namespace
+}  // namespace nettlestand::zones
--- /dev/null
+++ b/tests/zones/plan_test.cpp
@@ -0,0 +1,516 @@
+// Plans: exhaustive over small worlds, by random walks over large ones, and the courses that zones take.
+#include "zones/plan.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <random>
+#include <stdexcept>
+
+namespace nettlestand::zones {
+namespace {
+
+const std::vector<Hold> kClasses = {Hold::kNone, Hold::kRegion, Hold::kZone};
+
+Load sum(const std::vector<Load>& all) { return std::accumulate(all.begin(), all.end(), Load{0}); }
+
+// Zones a, b and c: the first two are in one region and near each other.
+Facts three(double at, const std::vector<Load>& capacity, const std::vector<std::vector<Load>>& demand) {
+  Facts out;
+  out.at = at;
+  const char* const names[] = {"a", "b", "c"};
+  for (std::size_t i = 0; i < 3; ++i) {
+    out.zones.push_back({names[i], i < 2 ? "west" : "east", capacity[i], 1, demand[i]});
+  }
+  out.distance = {{0, 1, 8}, {1, 0, 7}, {8, 7, 0}};
+  return out;
+}
+
+// One class that may go anywhere.
+PlannerSettings free_to_move() {
+  PlannerSettings out;
+  out.classes = {Hold::kNone};
+  return out;
+}
+
+Load capacity_of(const ZoneFacts& z) {
+  return static_cast<Load>(std::floor(static_cast<double>(z.capacity) * z.open + 1e-9));
+}
+
+struct Sums {
+  std::vector<Load> own, came, went;  // by zone: kept near, moved there, moved away
+  Load moved = 0, refused = 0;
+};
+Sums sums(const Plan& p) {
+  const std::size_t n = p.zones.size();
+  Sums out{std::vector<Load>(n), std::vector<Load>(n), std::vector<Load>(n)};
+  for (std::size_t a = 0; a < n; ++a) {
+    out.refused += sum(p.refused[a]);
+    for (const auto& to : p.load[a]) {
+      for (std::size_t b = 0; b < n; ++b) {
+        (a == b ? out.own[a] : out.came[b]) += to[b];
+        if (a != b) out.went[a] += to[b];
+        if (a != b) out.moved += to[b];
+      }
+    }
+  }
+  return out;
+}
+
+// What has to hold of every plan, whatever came before it. Empty where it does.
+std::string broken(const PlannerSettings& s, const Facts& f, const Plan& p) {
+  const std::size_t n = f.zones.size();
+  const Sums all = sums(p);
+  for (std::size_t a = 0; a < n; ++a) {
+    const ZoneFacts& z = f.zones[a];
+    for (std::size_t c = 0; c < s.classes.size(); ++c) {
+      Load kept = p.refused[a][c];
+      if (kept < 0) return z.zone + ": refuses less than nothing";
+      for (std::size_t b = 0; b < n; ++b) {
+        const Load to = p.load[a][c][b];
+        if (to < 0) return z.zone + ": sends less than nothing";
+        kept += to;
+        if (to == 0 || a == b) continue;
+        if (s.classes[c] == Hold::kZone) return z.zone + ": moves what is held to it";
+        if (s.classes[c] == Hold::kRegion && z.region != f.zones[b].region)
+          return z.zone + ": moves what is held to its region";
+        if (!std::isfinite(f.distance[a][b])) return z.zone + ": sends where nothing gets through";
+      }
+      if (kept != z.demand[c]) return z.zone + ": demand is lost or made up";
+    }
+    const Load can = capacity_of(z);
+    if (all.own[a] + all.came[a] > can) return z.zone + ": gets more than it can take";
+    if (all.came[a] > 0 &&
+        static_cast<double>(all.own[a] + all.came[a]) > (1 - s.head_room) * static_cast<double>(can) + 1)
+      return z.zone + ": moved traffic takes its head-room";
+    if (sum(p.refused[a]) > 0 && all.own[a] + all.came[a] < can)
+      return z.zone + ": refuses what it could serve itself";
+    Load together = 0;
+    for (std::size_t b = 0; b < n; ++b) together += p.alone[b][a];
+    if (all.own[a] + together > can) return z.zone + ": all alone together send it more than it can take";
+  }
+  return "";
+}
+
+// Where all that zones can take counts and rates bind nothing: no unit more could be served, moved less, or
+// moved a shorter way. Found by looking for a way to better it, through any number of zones.
+std::string could_be_better(const PlannerSettings& s, const Facts& f, const Plan& p) {
+  const std::size_t n = f.zones.size();
+  const Sums all = sums(p);
+  // Nodes: each zone's demand by hold, then each zone as a target. What goes over a way can be taken back.
+  const std::vector<Hold> holds = {Hold::kZone, Hold::kRegion, Hold::kNone};
+  const std::size_t nodes = 4 * n;
+  std::vector<std::vector<Load>> flow(3 * n, std::vector<Load>(n));
+  std::vector<Load> refused(3 * n);
+  for (std::size_t a = 0; a < n; ++a) {
+    for (std::size_t c = 0; c < s.classes.size(); ++c) {
+      const std::size_t h =
+          static_cast<std::size_t>(std::find(holds.begin(), holds.end(), s.classes[c]) - holds.begin());
+      refused[a * 3 + h] += p.refused[a][c];
+      for (std::size_t b = 0; b < n; ++b) flow[a * 3 + h][b] += p.load[a][c][b];
+    }
+  }
+  const auto may = [&](std::size_t from, std::size_t b) {
+    const std::size_t a = from / 3;
+    if (a == b) return true;
+    if (!std::isfinite(f.distance[a][b]) || holds[from % 3] == Hold::kZone) return false;
+    return holds[from % 3] == Hold::kNone || f.zones[a].region == f.zones[b].region;
+  };
+  // Moved traffic keeps off the head-room; own demand does not.
+  const auto room = [&](std::size_t b, bool moved) {
+    const double part = moved ? 1 - s.head_room : 1;
+    return static_cast<Load>(std::floor(static_cast<double>(capacity_of(f.zones[b])) * part + 1e-9)) -
+           all.own[b] - all.came[b];
+  };
+  // Distances from each demand, over ways that could be used (cost) or taken back (cost off).
+  constexpr double kFar = 1e18;
+  for (std::size_t from = 0; from < 3 * n; ++from) {
+    std::vector<double> cost(nodes, kFar);
+    std::vector<std::size_t> last(nodes, nodes);
+    cost[from] = 0;
+    for (std::size_t round = 0; round <= nodes; ++round) {
+      bool changed = false;
+      for (std::size_t x = 0; x < 3 * n; ++x) {
+        for (std::size_t b = 0; b < n; ++b) {
+          if (!may(x, b)) continue;
+          // Near is always better than any way away.
+          const double way = x / 3 == b ? 0 : 1e6 + f.distance[x / 3][b];
+          if (cost[x] < kFar && cost[x] + way < cost[3 * n + b] - 1e-6) {
+            cost[3 * n + b] = cost[x] + way;
+            last[3 * n + b] = x;
+            changed = true;
+          }
+          // What is served near stays there.
+          if (x / 3 != b && flow[x][b] > 0 && cost[3 * n + b] < kFar &&
+              cost[3 * n + b] - way < cost[x] - 1e-6) {
+            cost[x] = cost[3 * n + b] - way;
+            last[x] = 3 * n + b;
+            changed = true;
+          }
+        }
+      }
+      if (!changed) break;
+      if (round == nodes) return "a circle of moves would be shorter";
+    }
+    for (std::size_t b = 0; b < n; ++b) {
+      if (cost[3 * n + b] >= kFar) continue;
+      const std::size_t into = last[3 * n + b];
+      const bool moved = into / 3 != b;
+      if (refused[from] > 0 && room(b, moved) > 0) return "more could be served";
+    }
+  }
+  return "";
+}
+
+TEST(Plan, IsTheBestInEverySmallWorld) {
+  const PlannerSettings s = [] {
+    PlannerSettings out;
+    out.classes = kClasses;
+    out.move_rate = 1e6;
+    return out;
+  }();
+  const std::vector<std::vector<Load>> demands = {{0, 0, 0},    {30, 0, 0}, {0, 30, 0}, {0, 0, 30},
+                                                  {10, 20, 30}, {90, 0, 0}, {40, 40, 0}};
+  const std::vector<Load> capacities = {0, 10, 40, 100};
+  int worlds = 0;
+  for (const auto& da : demands) {
+    for (const auto& db : demands) {
+      for (const auto& dc : demands) {
+        for (const Load ca : capacities) {
+          for (const Load cb : capacities) {
+            for (const Load cc : capacities) {
+              const Facts f = three(0, {ca, cb, cc}, {da, db, dc});
+              const Plan p = Planner(s).decide(f);
+              ASSERT_EQ(broken(s, f, p), "");
+              ASSERT_EQ(could_be_better(s, f, p), "")
+                  << ca << ' ' << cb << ' ' << cc << " d " << sum(da) << ' ' << sum(db) << ' ' << sum(dc);
+              ++worlds;
+            }
+          }
+        }
+      }
+    }
+  }
+  EXPECT_EQ(worlds, 7 * 7 * 7 * 4 * 4 * 4);
+}
+
+// From each small world to each other one, at any step: the rules hold on the way, and what comes to rest is
+// the best there is, and stays.
+TEST(Plan, ComesToRestAfterEveryChange) {
+  PlannerSettings s;
+  s.classes = kClasses;
+  s.hold = 2;
+  const std::vector<std::pair<Load, std::vector<Load>>> zones = {
+      {0, {20, 0, 0}}, {50, {20, 0, 0}}, {100, {40, 10, 10}}, {60, {0, 90, 0}}, {100, {0, 0, 0}}};
+  const auto world = [&](std::size_t number, double at) {
+    std::vector<Load> capacity;
+    std::vector<std::vector<Load>> demand;
+    for (int i = 0; i < 3; ++i, number /= zones.size()) {
+      capacity.push_back(zones[number % zones.size()].first);
+      demand.push_back(zones[number % zones.size()].second);
+    }
+    return three(at, capacity, demand);
+  };
+  const std::size_t worlds = zones.size() * zones.size() * zones.size();
+  for (std::size_t from = 0; from < worlds; ++from) {
+    for (std::size_t to = 0; to < worlds; ++to) {
+      Planner planner(s);
+      planner.decide(world(from, 0));
+      Plan before, now;
+      int turned_again = 0;
+      Load last[9] = {};
+      bool fell[9] = {};
+      for (int i = 1; i <= 30; ++i) {
+        const Facts f = world(to, i);
+        now = planner.decide(f);
+        ASSERT_EQ(broken(s, f, now), "") << from << " to " << to << " at " << i;
+        // What goes over a way rises, and may fall once others have room again: it never turns a second time.
+        for (std::size_t w = 0; w < 9; ++w) {
+          Load over = 0;
+          for (const auto& to : now.load[w / 3]) over += w / 3 == w % 3 ? 0 : to[w % 3];
+          if (i > 1 && over < last[w]) fell[w] = true;
+          if (i > 1 && over > last[w] && fell[w]) ++turned_again;
+          last[w] = over;
+        }
+        if (i == 29) before = now;
+      }
+      ASSERT_EQ(turned_again, 0) << from << " to " << to;
+      ASSERT_EQ(before.load, now.load) << from << " to " << to;
+      ASSERT_EQ(could_be_better(s, world(to, 30), now), "") << from << " to " << to;
+    }
+  }
+}
+
+TEST(Plan, HoldsTheRulesOnRandomCourses) {
+  for (unsigned seed = 1; seed <= 60; ++seed) {
+    std::mt19937_64 random(seed);
+    const auto draw = [&](std::uint64_t below) { return static_cast<Load>(random() % below); };
+    const std::size_t n = 2 + random() % 9;
+    PlannerSettings s;
+    s.classes = kClasses;
+    s.hold = static_cast<double>(random() % 6);
+    Planner planner(s);
+    Facts f;
+    f.distance.assign(n, std::vector<double>(n));
+    for (std::size_t a = 0; a < n; ++a) {
+      f.zones.push_back({"z" + std::to_string(a),
+                         "r" + std::to_string(a % 3),
+                         100'000 + draw(900'000),
+                         1,
+                         {draw(300'000), draw(100'000), draw(100'000)}});
+      for (std::size_t b = 0; b < n; ++b)
+        f.distance[a][b] = a == b ? 0 : 1 + static_cast<double>(random() % 50);
+    }
+    std::vector<Load> into;
+    for (int step = 0; step < 150; ++step) {
+      f.at += 0.2 + static_cast<double>(random() % 10) / 10;
+      ZoneFacts& z = f.zones[random() % n];
+      switch (random() % 8) {
+        case 0:
+          z.capacity = 0;
+          break;
+        case 1:
+          z.capacity = 100'000 + draw(900'000);
+          break;
+        case 2:
+          z.demand[random() % 3] = draw(600'000);
+          break;
+        case 3:
+          z.open = static_cast<double>(random() % 5) / 4;
+          break;
+        case 4:
+          f.distance[random() % n][random() % n] = kUnreached;
+          break;
+        case 5:
+          for (auto& row : f.distance)
+            for (auto& d : row) d = std::isfinite(d) ? d : 9;
+          break;
+        default:
+          break;
+      }
+      const Plan p = planner.decide(f);
+      ASSERT_EQ(broken(s, f, p), "") << "seed " << seed << " step " << step;
+      // By so much a second at most does what is moved to a zone grow.
+      const Sums all = sums(p);
+      for (std::size_t b = 0; b < n && !into.empty(); ++b) {
+        const double most = static_cast<double>(into[b]) +
+                            s.move_rate * 1.2 * static_cast<double>(capacity_of(f.zones[b])) + 1;
+        ASSERT_LE(static_cast<double>(all.came[b]), most) << "seed " << seed << " step " << step;
+      }
+      into = all.came;
+    }
+  }
+}
+
+TEST(Plan, MovesALostZonesTrafficWithinTwoSeconds) {
+  Planner planner(free_to_move());
+  const std::vector<std::vector<Load>> demand = {{50'000}, {50'000}, {50'000}};
+  EXPECT_EQ(sums(planner.decide(three(0, {100'000, 100'000, 100'000}, demand))).moved, 0);
+  Sums s;
+  for (int i = 1; i <= 4; ++i) s = sums(planner.decide(three(i * 0.5, {0, 100'000, 100'000}, demand)));
+  EXPECT_EQ(s.refused, 0);
+  EXPECT_EQ(s.came[1], 40'000) << "the nearest first, up to its head-room";
+  EXPECT_EQ(s.came[2], 10'000);
+}
+
+// It is not sent back at once, nor all together, and the others go on serving it meanwhile.
+TEST(Plan, GoesBackAfterAHoldAndStepByStep) {
+  PlannerSettings settings = free_to_move();
+  Planner planner(settings);
+  const std::vector<std::vector<Load>> demand = {{50'000}, {50'000}, {50'000}};
+  planner.decide(three(0, {100'000, 100'000, 100'000}, demand));
+  for (int i = 1; i <= 5; ++i) planner.decide(three(i, {0, 100'000, 100'000}, demand));
+  Load last = 50'000;
+  double began = 0, ended = 0;
+  for (int i = 6; i <= 30 && ended == 0; ++i) {
+    const Plan p = planner.decide(three(i, {100'000, 100'000, 100'000}, demand));
+    const Sums s = sums(p);
+    EXPECT_EQ(s.refused, 0);
+    EXPECT_LE(s.moved, last);
+    EXPECT_GE(s.moved, last - 20'000) << "a fifth of its capacity a second";
+    if (s.moved < 50'000 && began == 0) began = i;
+    if (s.moved == 0) ended = i;
+    last = s.moved;
+  }
+  EXPECT_EQ(began, 6 + settings.hold) << "counted from when it was first seen to be back";
+  EXPECT_EQ(ended, began + 2);
+}
+
+TEST(Plan, BacksOffFromAZoneThatRelapsesAndForgetsInTheEnd) {
+  PlannerSettings settings = free_to_move();
+  settings.longest_hold = 40;
+  Planner planner(settings);
+  const std::vector<std::vector<Load>> demand = {{50'000}, {50'000}, {50'000}};
+  double at = 0;
+  planner.decide(three(at, {100'000, 100'000, 100'000}, demand));
+  const auto seconds_until_back = [&] {
+    planner.decide(three(++at, {0, 100'000, 100'000}, demand));
+    for (int i = 1; i < 200; ++i) {
+      if (sums(planner.decide(three(++at, {100'000, 100'000, 100'000}, demand))).own[0] > 0) return i;
+    }
+    return 0;
+  };
+  EXPECT_EQ(seconds_until_back(), 6);
+  EXPECT_EQ(seconds_until_back(), 11);
+  EXPECT_EQ(seconds_until_back(), 21);
+  EXPECT_EQ(seconds_until_back(), 41);
+  EXPECT_EQ(seconds_until_back(), 41);
+  at += settings.calm;
+  planner.decide(three(at, {100'000, 100'000, 100'000}, demand));
+  EXPECT_EQ(seconds_until_back(), 6);
+}
+
+// Every 4 s it is there for 2 s: within the hold, so nobody follows it.
+TEST(Plan, DoesNotFollowAZoneThatFlaps) {
+  Planner planner(free_to_move());
+  const std::vector<std::vector<Load>> demand = {{40'000}, {40'000}, {40'000}};
+  planner.decide(three(0, {100'000, 100'000, 100'000}, demand));
+  int turns = 0;
+  Load before = 0;
+  for (int i = 1; i <= 60; ++i) {
+    const Sums s = sums(planner.decide(three(i, {i % 4 < 2 ? 0 : 100'000, 100'000, 100'000}, demand)));
+    if (i > 2) {
+      EXPECT_EQ(s.refused, 0);
+      EXPECT_EQ(s.moved, 40'000);
+    }
+    turns += s.moved < before;
+    before = s.moved;
+  }
+  EXPECT_EQ(turns, 0);
+}
+
+// All at four fifths, one is lost: what can't be borne stays where it came from, and nobody is pushed over.
+TEST(Plan, DoesNotCarryOnWhatNobodyCanBear) {
+  Planner planner(free_to_move());
+  const std::vector<std::vector<Load>> demand = {{80'000}, {80'000}, {80'000}};
+  planner.decide(three(0, {100'000, 100'000, 100'000}, demand));
+  for (int i = 1; i <= 20; ++i) {
+    const Plan p = planner.decide(three(i, {0, 100'000, 100'000}, demand));
+    const Sums s = sums(p);
+    EXPECT_EQ(s.own[1], 80'000);
+    EXPECT_EQ(s.own[2], 80'000);
+    EXPECT_EQ(s.came[1], 10'000);
+    EXPECT_EQ(s.came[2], 10'000);
+    EXPECT_EQ(sum(p.refused[0]), 60'000);
+    ASSERT_EQ(p.why.size(), 1U);
+    EXPECT_EQ(p.why[0], "a: asked for 80/s, can take 0, of which 0 count; moves 20, refuses 60");
+  }
+}
+
+TEST(Plan, DrainsAndOpensAZoneByHand) {
+  Planner planner(free_to_move());
+  const std::vector<std::vector<Load>> demand = {{40'000}, {40'000}, {40'000}};
+  Load last = 0;
+  for (int i = 0; i <= 10; ++i) {
+    Facts f = three(i, {100'000, 100'000, 100'000}, demand);
+    f.zones[0].open = 1 - i / 10.0;
+    const Sums s = sums(planner.decide(f));
+    EXPECT_GE(s.moved, last);
+    EXPECT_EQ(s.refused, 0);
+    last = s.moved;
+  }
+  EXPECT_EQ(last, 40'000);
+}
+
+TEST(Plan, ADemandThatJumpsIsMovedAsFastAsOthersCanBear) {
+  Planner planner(free_to_move());
+  planner.decide(three(0, {100'000, 100'000, 100'000}, {{20'000}, {20'000}, {20'000}}));
+  const Plan first = planner.decide(three(0.2, {100'000, 100'000, 100'000}, {{200'000}, {20'000}, {20'000}}));
+  const Sums s = sums(first);
+  EXPECT_EQ(s.own[0], 100'000);
+  EXPECT_EQ(s.came[1], 10'000) << "a fifth of a second's part";
+  EXPECT_EQ(s.came[2], 10'000);
+  EXPECT_EQ(s.refused, 80'000);
+  Sums later;
+  for (int i = 1; i <= 10; ++i)
+    later = sums(
+        planner.decide(three(0.2 + i * 0.2, {100'000, 100'000, 100'000}, {{200'000}, {20'000}, {20'000}})));
+  EXPECT_EQ(later.refused, 0);
+}
+
+// A way that one zone alone can't use is no loss of the zone at its end.
+TEST(Plan, GoesRoundAWayThatIsCut) {
+  Planner planner(free_to_move());
+  Facts f = three(0, {0, 100'000, 100'000}, {{30'000}, {20'000}, {20'000}});
+  f.distance[0][1] = kUnreached;
+  Sums s;
+  for (int i = 0; i < 3; ++i, f.at += 1) s = sums(planner.decide(f));
+  EXPECT_EQ(s.came[1], 0);
+  EXPECT_EQ(s.came[2], 30'000);
+  EXPECT_EQ(s.own[1], 20'000);
+}
+
+TEST(Plan, AZoneOfWhichNothingIsToldAnyMoreStartsOver) {
+  Planner planner(free_to_move());
+  const std::vector<std::vector<Load>> demand = {{50'000}, {50'000}, {50'000}};
+  planner.decide(three(0, {100'000, 100'000, 100'000}, demand));
+  Facts two = three(1, {100'000, 100'000, 100'000}, demand);
+  two.zones.erase(two.zones.begin());
+  two.distance = {{0, 7}, {7, 0}};
+  planner.decide(two);
+  EXPECT_EQ(sums(planner.decide(three(2, {100'000, 100'000, 100'000}, demand))).own[0], 0)
+      << "it does not count yet";
+}
+
+TEST(Plan, TurnsAwayWhatCantBe) {
+  const auto facts = [](auto&& change) {
+    Facts f = three(1, {10, 10, 10}, {{1}, {1}, {1}});
+    change(f);
+    return f;
+  };
+  Planner planner(free_to_move());
+  const auto same = planner.decide(facts([](Facts&) {})).load;
+  for (const Facts& f :
+       {facts([](Facts& f) { f.zones[0].capacity = -1; }), facts([](Facts& f) { f.zones[1].open = 2; }),
+        facts([](Facts& f) { f.zones[1].open = std::nan(""); }),
+        facts([](Facts& f) { f.zones[0].demand.push_back(1); }),
+        facts([](Facts& f) { f.zones[2].demand[0] = -5; }), facts([](Facts& f) { f.zones[1].zone = "a"; }),
+        facts([](Facts& f) { f.distance.pop_back(); }), facts([](Facts& f) { f.distance[0][1] = -1; }),
+        facts([](Facts& f) { f.distance[0].pop_back(); }), facts([](Facts& f) { f.at = 0.5; }),
+        facts([](Facts& f) { f.at = std::nan(""); })}) {
+    EXPECT_THROW(planner.decide(f), std::invalid_argument);
+  }
+  EXPECT_EQ(planner.decide(facts([](Facts&) {})).load, same) << "and remembers nothing of it";
+  for (const auto& change : std::vector<void (*)(PlannerSettings&)>{
+           [](PlannerSettings& s) { s.head_room = 1.5; }, [](PlannerSettings& s) { s.move_rate = 0; },
+           [](PlannerSettings& s) { s.back_rate = -1; }, [](PlannerSettings& s) { s.longest_hold = 1; },
+           [](PlannerSettings& s) { s.hold = std::nan(""); }}) {
+    PlannerSettings s = free_to_move();
+    change(s);
+    EXPECT_THROW(Planner{s}, std::invalid_argument);
+  }
+}
+
+TEST(FairParts, AreTheFairOnesInEverySmallCase) {
+  const std::vector<double> shares[] = {{1, 1, 1}, {3, 1, 1}, {0, 2, 1}, {0, 0, 0}};
+  for (const auto& share : shares) {
+    for (Load a = 0; a <= 6; ++a) {
+      for (Load b = 0; b <= 6; ++b) {
+        for (Load c = 0; c <= 6; ++c) {
+          for (Load room = -1; room <= 20; ++room) {
+            const std::vector<Load> demand = {a, b, c}, got = fair_parts(demand, share, room);
+            ASSERT_EQ(sum(got), std::clamp<Load>(room, 0, a + b + c));
+            for (std::size_t i = 0; i < 3; ++i) {
+              ASSERT_GE(got[i], 0);
+              ASSERT_LE(got[i], demand[i]);
+              // Who wants more has no less for its share than anybody has, but for one that rounding gives.
+              for (std::size_t j = 0; j < 3; ++j) {
+                if (got[i] == demand[i] || (share[i] > 0) != (share[j] > 0)) continue;
+                const double mine = share[i] > 0 ? share[i] : 1, other = share[j] > 0 ? share[j] : 1;
+                ASSERT_GE(static_cast<double>(got[i] + 2) / mine, static_cast<double>(got[j] - 2) / other);
+              }
+              if (got[i] < demand[i] && share[i] > 0) {
+                for (std::size_t j = 0; j < 3; ++j) ASSERT_TRUE(share[j] > 0 || got[j] == 0);
+              }
+            }
+          }
+        }
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace nettlestand::zones
