--- /dev/null
+++ b/tests/zones/course_test.cpp
@@ -0,0 +1,330 @@
+// Evidence, planner and followers together: zones as fluids, news that come late, get lost and grow old, and
+// the courses of faults. What is checked holds in every course: no zone is pushed over by moved traffic.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+
+#include "zones/evidence.h"
+#include "zones/follower.h"
+
+namespace nettlestand::zones {
+namespace {
+
+constexpr double kStep = 0.1, kEvery = 0.2;  // s: of the course; between a node's reports, and between plans
+constexpr double kLease = 3;                 // s
+constexpr double kBears = 100;               // calls/s: a zone's servers, warm
+constexpr std::size_t kNodes = 3;            // a zone
+
+struct World {
+  explicit World(std::size_t zones, unsigned seed)
+      : random(seed), capacity(zones, kBears), demand(zones, 50), nodes_gone(zones) {
+    s.classes = {Hold::kNone};
+    s.per_weight = 1000;
+    s.distance.assign(zones, std::vector<double>(zones));
+    for (std::size_t a = 0; a < zones; ++a) {
+      s.zones.push_back({std::string(1, static_cast<char>('a' + a)), a < 2 ? "west" : "east"});
+      for (std::size_t b = 0; b < zones; ++b) s.distance[a][b] = a == b ? 0 : (a < 2) == (b < 2) ? 1 : 8;
+      for (std::size_t i = 0; i < kNodes; ++i) {
+        followers.push_back(std::make_unique<Follower>(FollowerSettings{s.zones[a].zone, s.classes, 10}));
+      }
+    }
+    over_since.assign(zones, -1);
+    elect();
+  }
+
+  // Another node holds the duty from now on: it knows nothing of what was decided before.
+  void elect() {
+    ++token;
+    epoch = 0;
+    evidence = std::make_unique<Evidence>(s);
+    PlannerSettings p;
+    p.classes = s.classes;
+    planner = std::make_unique<Planner>(p);
+  }
+
+  struct Late {
+    double at, made;
+    std::size_t node;
+    Plan plan;
+  };
+
+  std::size_t zones() const { return s.zones.size(); }
+  double draw(double most) { return std::uniform_real_distribution<>(0, most)(random); }
+
+  // From now until `until`; `change` is asked at each step.
+  void run(double until, const std::function<void(World&)>& change = {}) {
+    for (; at < until - 1e-9; at += kStep) {
+      if (change) change(*this);
+      const auto beat = static_cast<std::int64_t>(std::llround(at / kStep));
+      if (beat % static_cast<std::int64_t>(std::llround(kEvery / kStep)) == 0) {
+        for (std::size_t i = 0; i < followers.size(); ++i) tell(i);
+        if (decides) decide();
+      }
+      while (!late.empty() && late.front().at <= at) {
+        followers[late.front().node]->offer(late.front().plan, at - late.front().made, at);
+        late.pop_front();
+      }
+      flow();
+    }
+  }
+
+  void tell(std::size_t i) {
+    const std::size_t zone = i / kNodes;
+    if (nodes_gone[zone] || draw(1) < loss) return;
+    Report r{
+        "n" + std::to_string(i), s.zones[zone].zone, {static_cast<Load>(1000 * demand[zone] / kNodes)}, {}};
+    for (std::size_t b = 0; b < zones(); ++b) {
+      View v{std::max(0.0, capacity[b]), 1, 1};
+      if (bad_view) bad_view(zone, b, v);
+      r.views[s.zones[b].zone] = v;
+    }
+    evidence->report(r, at);
+  }
+
+  void decide() {
+    Plan plan = planner->decide(evidence->facts(at));
+    plan.token = token;
+    plan.epoch = ++epoch;
+    plan.lease = kLease;
+    last = plan;
+    for (std::size_t i = 0; i < followers.size(); ++i) {
+      if (draw(1) >= loss) late.push_back({at + draw(0.3), at, i, plan});
+    }
+    std::stable_sort(late.begin(), late.end(), [](const Late& x, const Late& y) { return x.at < y.at; });
+  }
+
+  void flow() {
+    const std::size_t n = zones();
+    std::vector<double> near(n), came(n);
+    double asked = 0;
+    for (std::size_t i = 0; i < followers.size(); ++i) {
+      const std::size_t a = i / kNodes;
+      if (nodes_gone[a]) continue;
+      const double mine = demand[a] / kNodes;
+      asked += mine;
+      const Shares shares = followers[i]->shares(std::min(1.0, capacity[a] / std::max(demand[a], 1e-9)),
+                                                 growth(a), s.distance[a], at);
+      for (std::size_t z = 0; z < shares.zones.size(); ++z) {
+        const auto b = static_cast<std::size_t>(shares.zones[z][0] - 'a');
+        (a == b ? near[a] : came[b]) += mine * shares.to[0][z];
+      }
+    }
+    moved = served = 0;
+    for (std::size_t b = 0; b < n; ++b) {
+      const double kept = std::min(near[b], capacity[b]);  // the module admits no more near
+      moved += came[b];
+      served += std::min(capacity[b], kept + came[b]);
+      const double over = kept + came[b] - 1.05 * capacity[b];
+      if (came[b] <= 0.01 || over <= 0.01)
+        over_since[b] = -1;
+      else if (over_since[b] < 0)
+        over_since[b] = at;
+      if (over_since[b] >= 0) longest_over = std::max(longest_over, at - over_since[b] + kStep);
+    }
+    refused = asked - served;
+    // A turn counts once it is a tenth of what a zone bears.
+    if (rising ? moved > extreme : moved < extreme) extreme = moved;
+    if (std::abs(moved - extreme) > 0.1 * kBears) {
+      if (turned) ++reversals;
+      turned = true;
+      rising = moved > extreme;
+      extreme = moved;
+    }
+  }
+  double growth(std::size_t a) const {
+    if (last.zones.empty()) return 1;
+    Load then = 0;
+    for (const Load l : last.load[a][0]) then += l;
+    then += last.refused[a][0];
+    return then == 0 ? 1 : 1000 * demand[a] / static_cast<double>(then);
+  }
+
+  EvidenceSettings s;
+  std::mt19937_64 random;
+  std::vector<double> capacity, demand;
+  std::vector<bool> nodes_gone;
+  std::function<void(std::size_t, std::size_t, View&)> bad_view;
+  double loss = 0;
+  bool decides = true;
+
+  double at = 0;
+  std::uint64_t token = 0, epoch = 0;
+  std::unique_ptr<Evidence> evidence;
+  std::unique_ptr<Planner> planner;
+  std::vector<std::unique_ptr<Follower>> followers;
+  std::deque<Late> late;
+  Plan last;
+
+  double moved = 0, served = 0, refused = 0, longest_over = 0;
+  std::vector<double> over_since;
+  double extreme = 0;
+  bool rising = true, turned = false;
+  int reversals = 0;
+};
+
+// Cold at a third, warm 9 s later.
+double ramp(double since) { return kBears * std::min(1.0, 0.33 + 0.67 * since / 9); }
+
+class Courses : public ::testing::TestWithParam<unsigned> {
+ protected:
+  World three() const { return World(3, GetParam()); }
+  World four() const { return World(4, GetParam()); }
+};
+
+TEST_P(Courses, AZoneIsLostForFiveSecondsAndReturnsCold) {
+  World w = three();
+  w.loss = 0.1;
+  w.run(10);
+  EXPECT_NEAR(w.moved, 0, 0.1);
+  w.run(15, [](World& x) { x.capacity[0] = 0; });
+  EXPECT_NEAR(w.refused, 0, 0.5);
+  w.run(45, [](World& x) { x.capacity[0] = ramp(x.at - 15); });
+  EXPECT_NEAR(w.moved, 0, 0.1);
+  EXPECT_NEAR(w.refused, 0, 0.5);
+  EXPECT_LE(w.longest_over, 1);
+  EXPECT_LE(w.reversals, 1);
+}
+
+TEST_P(Courses, ALostZonesTrafficIsHomeTwoSecondsAfterItIsSeen) {
+  World w = three();
+  w.run(10);
+  w.run(12.5, [](World& x) { x.capacity[1] = 0; });  // 0.5 s for news of it
+  EXPECT_NEAR(w.refused, 0, 0.5);
+  EXPECT_LE(w.longest_over, 1);
+  w.run(310, [](World& x) { x.capacity[1] = 0; });
+  EXPECT_EQ(w.reversals, 0);
+}
+
+TEST_P(Courses, ItsServersAreThereAndItsNodesAreNot) {
+  World w = three();
+  w.run(10);
+  w.nodes_gone[0] = true;
+  w.demand[1] += 25;  // its clients go to the others' nodes
+  w.demand[2] += 25;
+  w.run(30);
+  EXPECT_NEAR(w.refused, 0, 0.5);
+  EXPECT_GT(w.last.alone[1][0], 0) << "its servers are still room for the others";
+  w.demand[1] = 180;
+  w.run(40);
+  EXPECT_NEAR(w.refused, 0, 0.5);
+  EXPECT_LE(w.longest_over, 1);
+}
+
+TEST_P(Courses, AZoneAtAThirdOfItsSpeedAndOneThatFailsHalf) {
+  for (const bool slow : {true, false}) {
+    World w = three();
+    w.run(10);
+    w.bad_view = [slow](std::size_t, std::size_t b, View& v) {
+      if (b == 0) (slow ? v.slow : v.well) = slow ? 3 : 0.5;
+    };
+    w.run(30);
+    EXPECT_NEAR(w.moved, slow ? 50 - 100.0 / 3 : 0, 0.5) << "what is over, and no more";
+    EXPECT_LE(w.longest_over, 1);
+    EXPECT_EQ(w.reversals, 0);
+  }
+}
+
+TEST_P(Courses, AZoneThatOnlyLooksBadFromAnotherOneIsNotLeft) {
+  World w = three();
+  w.bad_view = [](std::size_t a, std::size_t b, View& v) {
+    if (a == 1 && b == 0) v.well = 0;
+  };
+  for (int i = 1; i <= 50; ++i) {
+    w.run(i);
+    EXPECT_NEAR(w.moved, 0, 0.1);
+  }
+}
+
+// It stops in the middle of a change, another one decides, and it wakes with plans of its own.
+TEST_P(Courses, TheDeciderStopsAndWakesAfterTheNextOneHasDecided) {
+  World w = three();
+  w.run(10);
+  w.run(10.6, [](World& x) { x.capacity[0] = 0; });
+  w.decides = false;
+  const Plan old = w.last;
+  w.run(16, [](World& x) { x.capacity[0] = 0; });
+  EXPECT_LE(w.longest_over, 1);
+  for (const auto& f : w.followers) EXPECT_EQ(f->plan(w.at), nullptr) << "it has lapsed";
+  w.elect();
+  w.decides = true;
+  w.run(20, [](World& x) { x.capacity[0] = 0; });
+  for (const auto& f : w.followers) {
+    Plan late = old;
+    late.epoch += 100;
+    EXPECT_FALSE(f->offer(late, 0, w.at));
+    EXPECT_EQ(f->plan(w.at)->token, 2U);
+  }
+  w.run(30, [](World& x) { x.capacity[0] = 0; });
+  EXPECT_NEAR(w.refused, 0, 0.5);
+  EXPECT_LE(w.longest_over, 1);
+}
+
+TEST_P(Courses, NobodyDecidesAnyMore) {
+  World w = three();
+  w.run(10);
+  w.decides = false;
+  double sent = 1e9;
+  w.run(60, [&](World& x) {
+    x.capacity[0] = 0;
+    x.capacity[1] = 70;
+    if (x.at < 14) return;
+    EXPECT_LE(x.moved, sent + 1e-6) << "never more as time goes by";
+    sent = x.moved;
+  });
+  EXPECT_LE(w.longest_over, 1);
+}
+
+TEST_P(Courses, AllAtFourFifthsAndOneIsLost) {
+  World w = three();
+  std::fill(w.demand.begin(), w.demand.end(), 80);
+  w.run(10);
+  w.run(60, [](World& x) { x.capacity[2] = 0; });
+  EXPECT_NEAR(w.refused, 60, 0.5) << "the others serve theirs, and a half of their head-room";
+  EXPECT_LE(w.longest_over, 1);
+  EXPECT_EQ(w.reversals, 0);
+}
+
+TEST_P(Courses, AZoneThatFlapsEveryFourSeconds) {
+  World w = three();
+  w.run(10);
+  w.run(70, [](World& x) { x.capacity[0] = std::fmod(x.at, 4) < 2 ? 0 : kBears; });
+  EXPECT_NEAR(w.refused, 0, 0.5);
+  EXPECT_NEAR(w.moved, 50, 0.5);
+  EXPECT_EQ(w.reversals, 0);
+  EXPECT_LE(w.longest_over, 1);
+}
+
+TEST_P(Courses, TwoZonesFailInTurn) {
+  World w = four();
+  w.run(10);
+  w.run(70, [](World& x) {
+    const bool first = std::fmod(x.at, 12) < 6;
+    x.capacity[0] = first ? 0 : kBears;
+    x.capacity[1] = first ? kBears : 0;
+  });
+  EXPECT_LE(w.longest_over, 1);
+  EXPECT_LE(w.reversals, 2);
+}
+
+TEST_P(Courses, DemandJumpsTenfoldWhileAnotherZoneDrains) {
+  World w = four();
+  std::fill(w.demand.begin(), w.demand.end(), 20);
+  w.run(10);
+  ASSERT_TRUE(w.evidence->drain("a", 5, w.at));
+  w.run(12);
+  w.demand[1] = 200;
+  w.run(40);
+  EXPECT_LE(w.longest_over, 1);
+  EXPECT_NEAR(w.refused, 0, 0.5) << "280 asked for, 300 there, less 20 of head-room";
+  EXPECT_LE(w.reversals, 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Courses, ::testing::Range(1U, 11U));
+
+}  // namespace
+}  // namespace nettlestand::zones
