--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -12,6 +12,9 @@
 #include <stdexcept>
 #include <string>
 
+#ifdef NETTLESTAND_WITH_SYSTEM
+#include "node/system_main.h"
+#endif
 #include "daemon/control.h"
 #include "daemon/node.h"
 #include "daemon/operator_file.h"
@@ -246,6 +249,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+#ifdef NETTLESTAND_WITH_SYSTEM
+  if (nettlestand::tier::is_system_command(argc, argv)) return nettlestand::tier::system_main(argc, argv);
+#endif
   CLI::App app(
       "A load balancer for services that call services. Without a subcommand it runs on GW_CONFIG, the "
       "platform's configuration.",
--- /dev/null
+++ b/src/admission/sliding_window.h
@@ -0,0 +1,83 @@
+// A client's calls of the last seconds.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <iterator>
+#include <vector>
+
+namespace quinceusher {
+
+// Total and declined calls of the last few seconds, in buckets; the latest of them also make the short rate.
+class SlidingWindow {
+ public:
+  struct Sums {
+    double total = 0, declined = 0, last_second = 0;
+  };
+  SlidingWindow(double bucket_s, int buckets, int short_buckets)
+      : bucket_s_(bucket_s), short_buckets_(short_buckets), buckets_(static_cast<std::size_t>(buckets)) {}
+
+  void add(double now, bool denied) {
+    advance(slot_of(now));
+    Bucket& bucket = at(slot_);
+    bucket.total += 1;
+    sums_.total += 1;
+    sums_.last_second += 1;
+    if (!denied) return;
+    bucket.declined += 1;
+    sums_.declined += 1;
+  }
+
+  Sums sums(double now) const {
+    SlidingWindow::Sums out = sums_;
+    const std::int64_t count = std::ssize(buckets_), slot = slot_of(now);
+    for (std::int64_t s = slot_ + 1; s <= std::min(slot, slot_ + count); ++s) leave(s, out);
+    return out;
+  }
+
+ private:
+  struct Bucket {
+    double total = 0, declined = 0;
+  };
+  std::int64_t slot_of(double now) const { return static_cast<std::int64_t>(std::floor(now / bucket_s_)); }
+  Bucket& at(std::int64_t slot) {
+    const std::int64_t count = std::ssize(buckets_);
+    return buckets_[static_cast<std::size_t>(((slot % count) + count) % count)];
+  }
+  const Bucket& at(std::int64_t slot) const { return const_cast<SlidingWindow*>(this)->at(slot); }
+
+  // Takes from the sums what has no place in them any more once `slot` is the latest.
+  void leave(std::int64_t slot, Sums& sums) const {
+    const Bucket& old = at(slot);  // the one that stood there a window ago
+    sums.total -= old.total;
+    sums.declined -= old.declined;
+    if (slot - short_buckets_ <= slot_) sums.last_second -= at(slot - short_buckets_).total;
+  }
+  void advance(std::int64_t slot) {
+    if (slot <= slot_) return;
+    if (slot - slot_ >= std::ssize(buckets_)) {
+      std::fill(buckets_.begin(), buckets_.end(), Bucket());
+      sums_ = Sums();
+      slot_ = slot;
+      return;
+    }
+    while (slot_ < slot) {
+      const std::int64_t next = slot_ + 1;
+      const double short_leaves = at(next - short_buckets_).total;
+      sums_.total -= at(next).total;
+      sums_.declined -= at(next).declined;
+      sums_.last_second -= short_leaves;
+      at(next) = Bucket();
+      slot_ = next;
+    }
+  }
+
+  double bucket_s_;
+  int short_buckets_;
+  std::vector<Bucket> buckets_;
+  Sums sums_;
+  std::int64_t slot_ = std::numeric_limits<std::int64_t>::min() / 2;  // the latest that anything was added to
+};
+
+}  // namespace quinceusher
--- /dev/null
+++ b/src/batch/job_table.cpp
@@ -0,0 +1,108 @@
+#include "batch/job_table.h"
+
+#include <xxhash.h>
+
+#include "control/placement.h"
+
+namespace nettlestand::tier {
+namespace {
+
+std::uint64_t chained(std::uint64_t chain, const JobResult& result) {
+  const std::string bytes = encode(result);
+  return XXH64(bytes.data(), bytes.size(), chain);
+}
+
+}  // namespace
+
+JobKey key_of(const JobChange& change) { return {change.tenant, change.job}; }
+
+void JobTable::apply(Millis now, const JobChange& change) {
+  const JobKey key = key_of(change);
+  if (change.removed) {
+    jobs_.erase(key);
+    return;
+  }
+  auto found = jobs_.find(key);
+  if (!change.spec.empty() && (found == jobs_.end() || change.reset)) {
+    Job job;
+    job.spec = change.spec.front();
+    job.listed.assign(job.spec.items.size(), false);
+    job.accepted_at = found == jobs_.end() ? now : found->second.accepted_at;
+    for (const JobItem& item : job.spec.items) job.waiting_tokens += item.tokens;
+    found = jobs_.insert_or_assign(key, std::move(job)).first;
+  }
+  if (found == jobs_.end()) return;
+  add_results(found->second, change.first_position, change.results);
+  if (change.ended) found->second.ended = true;
+}
+
+void JobTable::add_results(Job& job, std::uint32_t first, const std::vector<JobResult>& results) {
+  std::uint32_t position = first;
+  for (const JobResult& result : results) {
+    // A position is decided once, and positions are filled in order.
+    const bool next = position++ == job.results.size();
+    if (!next || result.item >= job.spec.items.size() || job.listed[result.item]) continue;
+    job.chain = chained(job.chain, result);
+    job.listed[result.item] = true;
+    job.waiting_tokens -= job.spec.items[result.item].tokens;
+    job.spec.items[result.item].body.clear();  // nobody may ask for it any more
+    job.results.push_back(result);
+  }
+}
+
+Job* JobTable::find(const JobKey& key) {
+  const auto found = jobs_.find(key);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+const Job* JobTable::find(const JobKey& key) const {
+  const auto found = jobs_.find(key);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+std::vector<JobKey> JobTable::keys_of(std::uint32_t shard) const {
+  std::vector<JobKey> out;
+  for (const auto& [key, job] : jobs_) {
+    if (batch_shard_of(key.tenant) == shard) out.push_back(key);
+  }
+  return out;
+}
+
+JobDigest JobTable::digest(const JobKey& key) const {
+  JobDigest out{};
+  out.tenant = key.tenant;
+  out.job = key.id;
+  if (const Job* job = find(key)) {
+    out.results = static_cast<std::uint32_t>(job->results.size());
+    out.chain = job->chain;
+    out.ended = job->ended;
+  }
+  return out;
+}
+
+JobChange JobTable::copy_of(const JobKey& key) const {
+  JobChange out{};
+  out.tenant = key.tenant;
+  out.job = key.id;
+  const Job* job = find(key);
+  if (job == nullptr) {
+    out.removed = true;
+    return out;
+  }
+  out.spec.push_back(job->spec);
+  out.reset = true;
+  out.results = job->results;
+  out.ended = job->ended;
+  return out;
+}
+
+std::int64_t JobTable::waiting_tokens(const std::string& tenant, const std::string& route) const {
+  std::int64_t sum = 0;
+  for (auto at = jobs_.lower_bound(JobKey{tenant, {}}); at != jobs_.end() && at->first.tenant == tenant;
+       ++at) {
+    if (at->second.spec.route == route && !at->second.ended) sum += at->second.waiting_tokens;
+  }
+  return sum;
+}
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/batch/shard_primary.cpp
@@ -0,0 +1,175 @@
+#include "batch/shard_primary.h"
+
+#include <algorithm>
+
+namespace nettlestand::tier {
+namespace {
+
+constexpr Millis kResendMs = 350;                 // what was not answered is sent again
+constexpr std::size_t kRepairBytes = 512U << 10;  // of copies in one message, beyond the first
+
+std::size_t size_of(const JobChange& change) {
+  std::size_t bytes = 0;
+  for (const JobSpec& spec : change.spec) {
+    for (const JobItem& item : spec.items) bytes += item.body.size() + item.path.size() + 64;
+  }
+  for (const JobResult& result : change.results) bytes += result.text.size() + 8;
+  return bytes;
+}
+
+}  // namespace
+
+void ShardPrimary::set_placement(const ShardPlacement& row) {
+  if (row.epoch <= row_.epoch) return;
+  row_ = row;
+  peers_.clear();
+  for (const StoreId id : row.members) {
+    if (id != self_) peers_[id].must_hold = true;
+  }
+  for (const StoreId id : row.joining) peers_[id].joining = true;
+}
+
+bool ShardPrimary::ready() const {
+  return row_.epoch > 0 && std::all_of(peers_.begin(), peers_.end(), [](const auto& item) {
+           return !item.second.must_hold || item.second.holds_all();
+         });
+}
+
+Replicate ShardPrimary::message(StoreId to) const {
+  Replicate out{};
+  out.shard = shard_;
+  out.epoch = row_.epoch;
+  out.to = to;
+  return out;
+}
+
+std::vector<JobChange> ShardPrimary::next_batch() {
+  if (!batch_.empty() || queued_.empty() || !ready()) return {};
+  batch_.swap(queued_);
+  batch_number_ = ++numbers_;
+  local_durable_ = false;
+  for (auto& [id, peer] : peers_) peer.batch_acked = false;
+  return batch_;
+}
+
+void ShardPrimary::local_durable() {
+  local_durable_ = true;
+  try_commit();
+}
+
+void ShardPrimary::repair(Millis now, StoreId id, Peer& peer, std::vector<Replicate>& out) {
+  if (peer.repair != 0 && now < peer.repair_sent_at + kResendMs) return;
+  if (peer.repair == 0) {
+    peer.repair = ++numbers_;
+    peer.repair_changes.clear();
+    peer.sent_copies.clear();
+    std::size_t bytes = 0;
+    for (const JobKey& key : peer.missing) {
+      if (bytes >= kRepairBytes) break;
+      peer.repair_changes.push_back(table_.copy_of(key));
+      peer.sent_copies.insert(key);
+      bytes += size_of(peer.repair_changes.back()) + 1;
+    }
+  }
+  peer.repair_sent_at = now;
+  Replicate copies = message(id);
+  copies.batch = peer.repair;
+  copies.changes = peer.repair_changes;
+  out.push_back(std::move(copies));
+}
+
+std::vector<Replicate> ShardPrimary::outgoing(Millis now) {
+  std::vector<Replicate> out;
+  for (auto& [id, peer] : peers_) {
+    if (!peer.digested) {
+      if (peer.asked_at != 0 && now < peer.asked_at + kResendMs) continue;
+      peer.asked_at = now;
+      Replicate ask = message(id);
+      ask.digest_wanted = true;
+      out.push_back(std::move(ask));
+      continue;
+    }
+    if (!peer.missing.empty()) {
+      repair(now, id, peer, out);
+      continue;
+    }
+    if (batch_.empty() || peer.batch_acked) continue;
+    if (peer.batch_sent == batch_number_ && now < peer.batch_sent_at + kResendMs) continue;
+    peer.batch_sent = batch_number_;
+    peer.batch_sent_at = now;
+    Replicate next = message(id);
+    next.batch = batch_number_;
+    next.changes = batch_;
+    out.push_back(std::move(next));
+  }
+  return out;
+}
+
+void ShardPrimary::on_reply(const ReplicateReply& reply) {
+  const auto found = peers_.find(reply.from);
+  if (found == peers_.end() || reply.epoch != row_.epoch || !reply.accepted) return;
+  Peer& peer = found->second;
+  if (reply.has_digest && !peer.digested) {
+    peer.digested = true;
+    std::set<JobKey> seen;
+    for (const JobDigest& held : reply.digest) {
+      const JobKey key{held.tenant, held.job};
+      seen.insert(key);
+      if (table_.find(key) == nullptr || encode(table_.digest(key)) != encode(held)) peer.missing.insert(key);
+    }
+    for (const JobKey& key : table_.keys_of(shard_)) {
+      if (!seen.contains(key)) peer.missing.insert(key);
+    }
+    return;
+  }
+  if (peer.repair != 0 && reply.batch == peer.repair) {
+    for (const JobKey& key : peer.sent_copies) peer.missing.erase(key);
+    peer.repair = 0;
+    return;
+  }
+  if (!batch_.empty() && reply.batch == batch_number_) {
+    peer.batch_acked = true;
+    try_commit();
+  }
+}
+
+void ShardPrimary::try_commit() {
+  if (batch_.empty() || !local_durable_ || !committed_.empty()) return;
+  std::size_t holders = 1;
+  for (const auto& [id, peer] : peers_) {
+    if (peer.must_hold && !peer.batch_acked) return;
+    if (peer.batch_acked) ++holders;
+  }
+  if (holders < copies_) return;
+  for (auto& [id, peer] : peers_) {
+    if (peer.batch_acked) continue;
+    for (const JobChange& change : batch_) {
+      peer.missing.insert(key_of(change));
+      peer.sent_copies.erase(key_of(change));  // the copy on its way is older
+    }
+  }
+  committed_.swap(batch_);
+}
+
+std::vector<JobChange> ShardPrimary::take_committed() {
+  std::vector<JobChange> out;
+  out.swap(committed_);
+  return out;
+}
+
+std::vector<InSync> ShardPrimary::in_sync() {
+  std::vector<InSync> out;
+  if (!ready()) return out;
+  for (auto& [id, peer] : peers_) {
+    if (!peer.joining || !peer.holds_all()) continue;
+    peer.must_hold = true;  // from here on nothing is committed without it
+    InSync report{};
+    report.shard = shard_;
+    report.epoch = row_.epoch;
+    report.store = id;
+    out.push_back(std::move(report));
+  }
+  return out;
+}
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/batch/shard_primary.h
@@ -0,0 +1,81 @@
+// The primary of one shard: orders its changes, has them kept by all copies, and brings copies up to date.
+// Decides only: what it returns is sent and written by the host.
+//
+// One batch of changes is under way at a time. It is committed once it is durable here, at every member, and
+// on as many disks as are wanted. A peer is told first of all what differs from the primary's own jobs, found
+// by digests.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "batch/job_table.h"
+
+namespace nettlestand::tier {
+
+class ShardPrimary {
+ public:
+  // `copies`: disks that have to hold a change before it counts.
+  ShardPrimary(std::uint32_t shard, StoreId self, std::size_t copies, const JobTable& table)
+      : shard_(shard), self_(self), copies_(copies), table_(table) {}
+
+  // A new row of the placement in which this store is the primary. All peers are asked anew what they hold.
+  void set_placement(const ShardPlacement& row);
+  std::uint64_t epoch() const { return row_.epoch; }
+
+  // Whether all members hold what this store holds, so that it may be read and changed.
+  bool ready() const;
+  // Whether enough disks take part for new changes.
+  bool can_commit() const { return 1 + peers_.size() >= copies_; }
+
+  // Queues changes; the next batch takes all that are queued.
+  void add(JobChange change) { queued_.push_back(std::move(change)); }
+  bool busy() const { return !batch_.empty() || !queued_.empty(); }
+
+  // The next batch, to be written and synced here and then told by local_durable(); empty where none is due.
+  std::vector<JobChange> next_batch();
+  void local_durable();
+  // What has to be sent now; repeats what was not answered for a while.
+  std::vector<Replicate> outgoing(Millis now);
+  void on_reply(const ReplicateReply& reply);
+  // The batch that has just been committed, once; empty where none was.
+  std::vector<JobChange> take_committed();
+  // What was handed out as a batch and is not committed: it stands on this disk.
+  std::vector<JobChange> take_uncommitted() { return std::move(batch_); }
+  // Joining stores that hold everything.
+  std::vector<InSync> in_sync();
+
+ private:
+  struct Peer {
+    bool must_hold = false;  // commits wait for it: a member, or a joining one that was reported as in sync
+    bool joining = false;
+    bool digested = false;
+    std::set<JobKey> missing;      // jobs that it does not hold as they are here
+    std::set<JobKey> sent_copies;  // of these, in the repair that is out, and unchanged since
+    std::uint64_t repair = 0;      // number of the repair that is out; 0: none
+    std::vector<JobChange> repair_changes;
+    std::uint64_t batch_sent = 0;
+    bool batch_acked = false;
+    Millis asked_at = 0, repair_sent_at = 0, batch_sent_at = 0;
+
+    bool holds_all() const { return digested && missing.empty(); }
+  };
+  Replicate message(StoreId to) const;
+  void repair(Millis now, StoreId id, Peer& peer, std::vector<Replicate>& out);
+  void try_commit();
+
+  std::uint32_t shard_;
+  StoreId self_;
+  std::size_t copies_;
+  const JobTable& table_;
+  ShardPlacement row_{};
+  std::map<StoreId, Peer> peers_;
+  std::vector<JobChange> queued_, batch_, committed_;
+  std::uint64_t numbers_ = 0, batch_number_ = 0;
+  bool local_durable_ = false;
+};
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/batch/store_service.cpp
@@ -0,0 +1,413 @@
+#include "batch/store_service.h"
+
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <algorithm>
+
+#include "control/placement.h"
+#include "node/log.h"
+
+namespace nettlestand::tier {
+namespace {
+
+constexpr std::uint32_t kOk = 200, kAccepted = 202, kNotFound = 404, kTooMany = 429, kServerError = 500,
+                        kUnavailable = 503;
+constexpr std::uint32_t kNotPrimary = 0;  // nothing was kept
+constexpr std::uint32_t kMoved = 1;       // it may have been kept
+constexpr Millis kCommitWaitMs = 2200;    // for a change to reach all copies, before its outcome is left open
+constexpr std::size_t kMaxPageBytes = 900U << 10;
+constexpr Millis kExpiryMs = 2000;  // between looks for jobs that may go
+constexpr Millis kKeepBeyondStatusMs = 30000;
+
+std::string page_of(const Job& job, std::uint64_t start) {
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+  const auto text = [&writer](const std::string& value) {
+    writer.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+  };
+  writer.StartObject();
+  writer.Key("total");
+  writer.Uint64(job.spec.items.size());
+  writer.Key("results");
+  writer.StartArray();
+  std::uint64_t next = std::min<std::uint64_t>(start, job.results.size());
+  for (std::size_t bytes = 0; next < job.results.size(); ++next) {
+    const JobResult& result = job.results[next];
+    bytes += result.text.size() + 128;
+    if (next > start && bytes > kMaxPageBytes) break;
+    writer.StartObject();
+    writer.Key("id");
+    text(job.spec.items[result.item].id);
+    writer.Key("state");
+    writer.String(result.state == ResultState::kCompleted ? "completed" : "dead_letter");
+    writer.Key("text");
+    text(result.text);
+    writer.EndObject();
+  }
+  writer.EndArray();
+  writer.Key("next_token");
+  writer.Uint64(std::max(next, start));
+  writer.EndObject();
+  return {buffer.GetString(), buffer.GetSize()};
+}
+
+std::int64_t tokens_of(const JobSpec& spec) {
+  std::int64_t sum = 0;
+  for (const JobItem& item : spec.items) sum += item.tokens;
+  return sum;
+}
+
+}  // namespace
+
+StoreService::StoreService(boost::asio::io_context& io, Network& network, ControlFollower& follower,
+                           Forwarder& forwarder, const Settings& settings, std::unique_ptr<JobTable> table,
+                           std::unique_ptr<JobJournal> journal)
+    : io_(io),
+      network_(network),
+      follower_(follower),
+      forwarder_(forwarder),
+      settings_(settings),
+      table_(std::move(table)),
+      journal_(std::move(journal)),
+      runner_(
+          io, forwarder, follower, *table_,
+          {[this](const JobKey& key) { return is_certain(steady_now(), key) && !submitted_.contains(key); },
+           [this](const JobKey& key, JobResult result) { add_result(key, std::move(result)); }}) {}
+
+// ---------------------------------------------------------------- shards
+
+ShardPrimary* StoreService::primary_of(const JobKey& key) {
+  const auto found = primaries_.find(batch_shard_of(key.tenant));
+  return found == primaries_.end() ? nullptr : &found->second;
+}
+
+bool StoreService::is_certain(Millis now, const JobKey& key) {
+  const ShardPrimary* primary = primary_of(key);
+  return primary != nullptr && primary->ready() && follower_.has_primary_lease(now);
+}
+
+void StoreService::on_placement(Millis now) {
+  const auto copies = static_cast<std::size_t>(settings_.fault_tolerance.machines) + 1;
+  for (const ShardPlacement& row : follower_.state().placement().shards) {
+    epochs_[row.shard] = row.epoch;
+    if (row.members.empty() || row.members.front() != disk_id()) {
+      demote(now, row.shard);
+      continue;
+    }
+    const auto [at, added] = primaries_.try_emplace(row.shard, row.shard, disk_id(), copies, *table_);
+    if (added) NETTLESTAND_INFO("primary of shard=" << row.shard << " epoch=" << row.epoch);
+    at->second.set_placement(row);
+  }
+  drive(now);
+}
+
+void StoreService::demote(Millis now, std::uint32_t shard) {
+  const auto found = primaries_.find(shard);
+  if (found == primaries_.end()) return;
+  NETTLESTAND_INFO("no longer primary of shard=" << shard);
+  // The table has to say what the disk holds, so that the new primary finds what differs.
+  for (const JobChange& change : found->second.take_uncommitted()) table_->apply(now, change);
+  unwritten_.erase(shard);
+  primaries_.erase(found);
+  for (const JobKey& key : table_->keys_of(shard)) runner_.forget(key);
+  std::erase_if(positions_, [shard](const auto& item) { return batch_shard_of(item.first.tenant) == shard; });
+  std::erase_if(submitted_, [shard](const auto& item) { return batch_shard_of(item.first.tenant) == shard; });
+  waiting_.remove_if([&](const Waiting& waiting) {
+    if (batch_shard_of(waiting.key.tenant) != shard) return false;
+    // A change that was queued may have reached a copy: the caller asks the new primary.
+    answer(waiting.from, waiting.call.call, kMoved, "");
+    return true;
+  });
+}
+
+std::vector<InSync> StoreService::in_sync() {
+  std::vector<InSync> out;
+  for (auto& [shard, primary] : primaries_) {
+    for (InSync& report : primary.in_sync()) out.push_back(std::move(report));
+  }
+  return out;
+}
+
+void StoreService::tick(Millis now) {
+  drive(now);
+  runner_.pump(now);
+  answer_waiting(now, nullptr);
+  if (now >= next_expiry_) {
+    next_expiry_ = now + kExpiryMs;
+    expire_jobs(now);
+    journal_->reclaim(*table_);
+  }
+}
+
+// ---------------------------------------------------------------- replication
+
+void StoreService::drive(Millis now) {
+  if (driving_) return;
+  driving_ = true;
+  for (bool again = true; again;) {
+    again = write_batches();
+    send_outgoing(now);
+    for (auto& [shard, primary] : primaries_) {
+      const std::vector<JobChange> batch = primary.take_committed();
+      if (batch.empty()) continue;
+      commit(now, batch);
+      again = true;
+    }
+  }
+  driving_ = false;
+}
+
+// Writes the next batch of each shard and syncs once for all; true where something became durable.
+bool StoreService::write_batches() {
+  for (auto& [shard, primary] : primaries_) {
+    std::vector<JobChange> batch = primary.next_batch();
+    if (!batch.empty()) unwritten_[shard] = std::move(batch);
+  }
+  if (unwritten_.empty()) return false;
+  absl::Status status = absl::OkStatus();
+  for (const auto& [shard, batch] : unwritten_) {
+    for (const JobChange& change : batch) {
+      if (status.ok()) status = journal_->append(change);
+    }
+  }
+  if (status.ok()) status = journal_->sync();
+  if (!status.ok()) {
+    NETTLESTAND_WARNING("journal failed error=" << status.message());
+    return false;  // with the next tick again
+  }
+  for (const auto& [shard, batch] : unwritten_) primaries_.at(shard).local_durable();
+  unwritten_.clear();
+  return true;
+}
+
+void StoreService::send_outgoing(Millis now) {
+  const PlacementTable& table = follower_.state().placement();
+  for (auto& [shard, primary] : primaries_) {
+    for (const Replicate& message : primary.outgoing(now)) {
+      const StoreRecord* peer = table.store(message.to);
+      if (peer != nullptr) network_.send(peer->address, encode_message(MessageType::kReplicate, message));
+    }
+  }
+}
+
+void StoreService::on_replicate(Millis now, const std::string& from, const Replicate& message) {
+  if (message.to != disk_id()) return;
+  const PlacementTable& table = follower_.state().placement();
+  const auto row = std::find_if(table.shards.begin(), table.shards.end(),
+                                [&](const ShardPlacement& r) { return r.shard == message.shard; });
+  // Only the primary of the very epoch that is known here is listened to; it sends again what was not
+  // answered.
+  if (row == table.shards.end() || row->epoch != message.epoch || row->members.front() == disk_id()) return;
+  const StoreRecord* sender = table.store(row->members.front());
+  if (sender == nullptr || sender->address != from) return;
+  absl::Status status = absl::OkStatus();
+  for (const JobChange& change : message.changes) {
+    if (batch_shard_of(change.tenant) != message.shard) return;
+    if (status.ok()) status = journal_->append(change);
+  }
+  if (status.ok()) status = journal_->sync();
+  if (!status.ok()) {
+    NETTLESTAND_WARNING("journal failed error=" << status.message());
+    return;
+  }
+  for (const JobChange& change : message.changes) table_->apply(now, change);
+  ReplicateReply reply{};
+  reply.shard = message.shard;
+  reply.epoch = message.epoch;
+  reply.batch = message.batch;
+  reply.from = disk_id();
+  reply.accepted = true;
+  if (message.digest_wanted) {
+    reply.has_digest = true;
+    for (const JobKey& key : table_->keys_of(message.shard)) reply.digest.push_back(table_->digest(key));
+  }
+  network_.send(from, encode_message(MessageType::kReplicateReply, reply));
+}
+
+void StoreService::on_replicate_reply(Millis now, const ReplicateReply& reply) {
+  const auto found = primaries_.find(reply.shard);
+  if (found == primaries_.end()) return;
+  const bool was_ready = found->second.ready();
+  found->second.on_reply(reply);
+  drive(now);
+  if (!was_ready && found->second.ready()) runner_.pump(now);
+}
+
+void StoreService::commit(Millis now, const std::vector<JobChange>& batch) {
+  for (const JobChange& change : batch) {
+    const JobKey key = key_of(change);
+    table_->apply(now, change);
+    if (!change.spec.empty()) submitted_.erase(key);
+    if (change.removed) {
+      positions_.erase(key);
+      runner_.forget(key);
+    }
+    answer_waiting(now, &key);
+  }
+  runner_.pump(now);
+}
+
+void StoreService::add_result(const JobKey& key, JobResult result) {
+  ShardPrimary* primary = primary_of(key);
+  const Job* job = table_->find(key);
+  if (primary == nullptr || job == nullptr) return;
+  auto [position, first] = positions_.try_emplace(key, static_cast<std::uint32_t>(job->results.size()));
+  JobChange change{};
+  change.tenant = key.tenant;
+  change.job = key.id;
+  change.first_position = position->second++;
+  change.results.push_back(std::move(result));
+  primary->add(std::move(change));
+  drive(steady_now());
+}
+
+void StoreService::expire_jobs(Millis now) {
+  const Millis keep = static_cast<Millis>(settings_.bounds.status_s * 1000) + kKeepBeyondStatusMs;
+  std::vector<JobKey> old;
+  for (const auto& [key, job] : table_->jobs()) {
+    if ((job.complete() || job.ended) && job.accepted_at + keep < now && is_certain(now, key))
+      old.push_back(key);
+  }
+  for (const JobKey& key : old) {
+    JobChange change{};
+    change.tenant = key.tenant;
+    change.job = key.id;
+    change.removed = true;
+    primary_of(key)->add(std::move(change));
+  }
+  if (!old.empty()) drive(now);
+}
+
+// ---------------------------------------------------------------- calls
+
+void StoreService::answer(const std::string& to, std::uint64_t call, std::uint32_t status, std::string body) {
+  JobReply reply{};
+  reply.call = call;
+  reply.status = status;
+  reply.body = std::move(body);
+  network_.send(to, encode_message(MessageType::kJobReply, reply));
+}
+
+void StoreService::on_job_call(Millis now, const std::string& from, const JobCall& call) {
+  Waiting waiting;
+  waiting.from = from;
+  waiting.call = call;
+  waiting.key = {call.tenant, call.job};
+  if (!is_certain(now, waiting.key)) return answer(from, call.call, kNotPrimary, "");
+  switch (call.kind) {
+    case JobCallKind::kSubmit:
+      return submit(now, std::move(waiting));
+    case JobCallKind::kEnd:
+      return end_job(now, std::move(waiting));
+    case JobCallKind::kRead:
+    case JobCallKind::kBody:
+      waiting.until = now + call.wait_ms;
+      if (!try_answer(now, waiting)) wait(std::move(waiting));
+      return;
+  }
+}
+
+void StoreService::submit(Millis now, Waiting waiting) {
+  const JobKey& key = waiting.key;
+  if (waiting.call.spec.size() != 1) return answer(waiting.from, waiting.call.call, kServerError, "");
+  waiting.until = now + kCommitWaitMs;
+  if (table_->find(key) != nullptr) return answer(waiting.from, waiting.call.call, kAccepted, "{}");
+  if (submitted_.contains(key)) {
+    waiting.call.spec.clear();
+    return wait(std::move(waiting));
+  }
+  ShardPrimary* primary = primary_of(key);
+  if (!primary->can_commit() || !journal_->accepts_jobs()) {
+    return answer(waiting.from, waiting.call.call, kUnavailable, "");
+  }
+  JobSpec spec = std::move(waiting.call.spec.front());
+  waiting.call.spec.clear();
+  const auto configuration = follower_.configuration();
+  const Route* route = configuration ? configuration->route_named(spec.route) : nullptr;
+  if (route == nullptr) return answer(waiting.from, waiting.call.call, kUnavailable, "");
+  std::int64_t tokens = table_->waiting_tokens(key.tenant, spec.route);
+  for (const auto& [other, on_its_way] : submitted_) tokens += other.tenant == key.tenant ? on_its_way : 0;
+  const std::int64_t own = tokens_of(spec);
+  if (route->max_queued_tokens > 0 && tokens + own > route->max_queued_tokens) {
+    return answer(waiting.from, waiting.call.call, kTooMany, "");
+  }
+  submitted_[key] = own;
+  JobChange change{};
+  change.tenant = key.tenant;
+  change.job = key.id;
+  change.spec.push_back(std::move(spec));
+  primary->add(std::move(change));
+  wait(std::move(waiting));
+  drive(now);
+}
+
+void StoreService::end_job(Millis now, Waiting waiting) {
+  const Job* job = table_->find(waiting.key);
+  if (job == nullptr && !submitted_.contains(waiting.key)) {
+    return answer(waiting.from, waiting.call.call, kNotFound, "");
+  }
+  if (job != nullptr && job->ended) return answer(waiting.from, waiting.call.call, kOk, "{}");
+  runner_.forget(waiting.key);
+  JobChange change{};
+  change.tenant = waiting.key.tenant;
+  change.job = waiting.key.id;
+  change.ended = true;
+  primary_of(waiting.key)->add(std::move(change));
+  waiting.until = now + kCommitWaitMs;
+  wait(std::move(waiting));
+  drive(now);
+}
+
+bool StoreService::try_answer(Millis now, const Waiting& waiting) {
+  const JobCall& call = waiting.call;
+  const Job* job = table_->find(waiting.key);
+  const bool late = now >= waiting.until;
+  if (!is_certain(now, waiting.key)) {
+    answer(waiting.from, call.call, kMoved, "");
+    return true;
+  }
+  switch (call.kind) {
+    case JobCallKind::kSubmit:
+      if (job == nullptr && !late) return false;
+      answer(waiting.from, call.call, job != nullptr ? kAccepted : kServerError, "{}");
+      return true;
+    case JobCallKind::kEnd:
+      if ((job == nullptr || !job->ended) && !late) return false;
+      answer(waiting.from, call.call, job != nullptr && job->ended ? kOk : kServerError, "{}");
+      return true;
+    case JobCallKind::kRead:
+      if (job == nullptr) {
+        answer(waiting.from, call.call, submitted_.contains(waiting.key) ? kUnavailable : kNotFound, "");
+        return true;
+      }
+      if (job->results.size() <= call.start_after && !job->complete() && !job->ended && !late) return false;
+      answer(waiting.from, call.call, kOk, page_of(*job, call.start_after));
+      return true;
+    case JobCallKind::kBody: {
+      if (job == nullptr || job->ended) {
+        answer(waiting.from, call.call, kNotFound, "");
+        return true;
+      }
+      const auto& items = job->spec.items;
+      for (std::size_t i = 0; i < items.size(); ++i) {
+        if (items[i].id != call.item || job->listed[i]) continue;
+        answer(waiting.from, call.call, kOk, items[i].body);
+        return true;
+      }
+      answer(waiting.from, call.call, kNotFound, "");
+      return true;
+    }
+  }
+  return true;
+}
+
+void StoreService::answer_waiting(Millis now, const JobKey* key) {
+  waiting_.remove_if([&](const Waiting& waiting) {
+    if (key != nullptr && waiting.key != *key) return false;
+    if (key == nullptr && now < waiting.until && is_certain(now, waiting.key)) return false;
+    return try_answer(now, waiting);
+  });
+}
+
+}  // namespace nettlestand::tier
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -7,6 +7,9 @@
 #include <limits>
 #include <unordered_map>
 
+#include "admission/client_window.h"
+#include "admission/learned_limit.h"
+#include "admission/subset.h"
 #include "members.h"
 #include "outliers.h"
 #include "progress.h"
@@ -34,13 +37,7 @@
 constexpr double kSparseFloor = 0.15;  // x allowance; a jam in work that nothing stops must be let run off
 constexpr double kDeepFloorShare = 6;  // x allowance past tier 0: a refusal there wastes the work above it
 constexpr double kFloorRate = 2;       // calls/s over all copies; least floor of a limit
-constexpr double kReviewPeriod = 1;    // s; least time between changes of a limit, a feedback delay
-constexpr double kReviewCalls = 5;     // calls; fewer say nothing about a tenant
-constexpr double kBadShare = 0.1;      // of ended calls; above it a limit drops
-constexpr double kFineShare = 0.03;    // of ended calls; below it a limit may rise
-constexpr double kDrop = 0.75;         // x; one drop of a limit
 constexpr double kOverPart = 0.05;  // of the admitted calls; so many beyond their tenants' parts crowd others
-constexpr double kRise = 0.1;       // of the limit; one rise, for traffic of full worth; less in proportion
 constexpr double kInTime = 0.6;     // of the aim; slower answers tell of queues before the aim is missed
 
 constexpr std::size_t kSubset = 8;     // servers at least; enough spread, few connections
@@ -77,37 +74,16 @@
 
 constexpr double kForever = std::numeric_limits<double>::infinity();
 
-struct TenantState {
-  TenantState(double bucket, int buckets) : window(bucket, buckets, kLastSecondBuckets) {}
-  SlidingWindow window;
-  double part = 0, limit = kForever, floor = kFloorRate, worth = 1;  // worth: of what exceeds its part
-  double factor = 0, factor_until = -kForever;
-  double ended = 0, bad = 0, next_review = -kForever;
-  double before = 0;  // calls/s that were accepted before the limit began to drop
-  double since = 0;   // its window has held calls without a break since then
+struct TenantState : LearnedLimit {
+  TenantState(double bucket, int buckets) : window(bucket, buckets, kLastSecondBuckets) {
+    floor = kFloorRate;
+  }
+  ClientWindow window;
+  double since = 0;  // its window has held calls without a break since then
 };
 
-std::size_t subset_start(std::size_t copy_index, std::size_t copy_count, std::size_t servers) {
-  return copy_index * servers / copy_count;
-}
-
 }  // namespace
 
-double suppression_factor(double rate_limit, double window_rate, double last_second_rate) {
-  const double perceived = std::max(window_rate, last_second_rate);
-  return perceived <= 0 ? 0 : std::clamp(1 - rate_limit / perceived, 0.0, 1.0);
-}
-
-// Evenly spaced starts on a ring: any two servers differ by at most one in how many copies use them.
-std::vector<std::size_t> subset_of(std::size_t copy_index, std::size_t copy_count, std::size_t servers,
-                                   std::size_t size) {
-  std::vector<std::size_t> out;
-  if (servers == 0 || copy_count == 0) return out;
-  const std::size_t start = subset_start(copy_index, copy_count, servers);
-  for (std::size_t i = 0; i < std::min(size, servers); ++i) out.push_back((start + i) % servers);
-  return out;
-}
-
 class Balancer::Impl {
  public:
   Impl(const Settings& settings, std::uint64_t seed)
@@ -138,7 +114,7 @@
   TenantView view(double now, std::size_t tenant) const {
     const TenantState& t = tenants_[std::min(tenant, tenants_.size() - 1)];
     const SlidingWindow::Sums sums = t.window.sums(now);
-    return {t.limit, factor_of(t, sums), sums.total, sums.declined};
+    return {t.limit, ClientWindow::factor(regimes(), t.limit, sums), sums.total, sums.declined};
   }
 
  private:
@@ -160,28 +136,13 @@
     return t;
   }
 
-  double factor_of(const TenantState& t, const SlidingWindow::Sums& sums) const {
-    if (sums.total - sums.declined < std::max(t.limit * window_, kFewest)) return 0;
-    if (sums.total >= t.limit * window_ * kHardLimitFactor) return 1;
-    return suppression_factor(t.limit, sums.total / window_,
-                              sums.last_second / (kLastSecondBuckets * bucket_));
+  Regimes regimes() const {
+    return {window_, kLastSecondBuckets * bucket_, kFewest, kHardLimitFactor, kFactorCache};
   }
 
-  // The three regimes of the source. The cached factor serves only between the two limits.
   bool admits(TenantState& t) {
-    const SlidingWindow::Sums sums = t.window.sums(now_);
-    if (sums.total == 0) t.since = now_;
-    double factor = factor_of(t, sums);
-    if (factor > 0 && factor < 1) {
-      if (now_ >= t.factor_until) {
-        t.factor = factor;
-        t.factor_until = now_ + kFactorCache;
-      }
-      factor = t.factor;
-    }
-    const bool admit = random_.unit() >= factor;
-    t.window.add(now_, !admit);
-    return admit;
+    if (t.window.sums(now_).total == 0) t.since = now_;
+    return t.window.admit(now_, regimes(), t.limit, random_);
   }
 
   // Whether a call is of its tenant's part, by chance where there are more: the others are the first to wait.
@@ -191,29 +152,15 @@
     return part <= 0 || accepted <= part + std::sqrt(part) || random_.unit() * accepted < part;
   }
 
-  // Learns a tenant's limit from how its calls end. A limit drops once per review at most, since calls that
-  // end within a feedback delay were sent under the old one.
+  // Learns a tenant's limit from how its calls end.
   void review(TenantState& t, bool bad) {
-    t.ended += 1;
-    if (bad) t.bad += 1;
-    if (now_ < t.next_review || (t.ended < kReviewCalls && !room_.sparse(now_))) return;
+    if (!t.count(now_, bad, room_.sparse(now_))) return;
     // Danger: where nobody has told a part, a window that is not full yet makes a limit of next to nothing.
     if (t.part == 0 && now_ - t.since < window_) return;
     const SlidingWindow::Sums sums = t.window.sums(now_);
-    const double accepted = (sums.total - sums.declined) / window_;
-    if (t.bad > kBadShare * t.ended) {
-      t.before = std::max(t.before, accepted);
-      const bool crowded_out = over_.at(now_) > kOverPart * admitted_.at(now_);
-      t.limit = std::max(crowded_out ? std::max(t.floor, t.part) : t.floor,
-                         std::min(t.limit, std::max(accepted, t.part)) * kDrop);
-    } else if (t.bad <= kFineShare * t.ended && accepted > t.limit / 2) {
-      // Back to half of what it was goes quickly, where nobody has told what it should be.
-      const bool far_off = t.part == 0 && t.limit < t.before / 2;
-      t.limit *= far_off ? 2 : 1 + kRise * (t.limit < kStartShare * t.part ? 1 : t.worth);
-      if (!far_off) t.before = 0;
-    }
-    t.ended = t.bad = 0;
-    t.next_review = now_ + kReviewPeriod;
+    const bool crowded_out = over_.at(now_) > kOverPart * admitted_.at(now_);
+    t.review(now_, (sums.total - sums.declined) / window_, crowded_out ? std::max(t.floor, t.part) : t.floor,
+             kStartShare);
   }
 
   // ---------------------------------------------------------------- who is there?
--- /dev/null
+++ b/src/control/follower.h
@@ -0,0 +1,94 @@
+// Each node's end of the control state: finds the groups' leaders, follows the configuration, the placement
+// of batch shards and the lists of servers, and holds the lease without which nothing may be served.
+#pragma once
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "control/state.h"
+#include "membership/partial_view.h"
+#include "messaging/messages.h"
+#include "messaging/network.h"
+#include "routing/quota.h"
+
+namespace nettlestand::tier {
+
+// Group 0 holds the configuration; the others are the shards of the services, by a hash of their names.
+constexpr std::uint32_t kConfigGroup = 0;
+constexpr std::uint32_t kServiceShards = 2;
+constexpr std::uint32_t kGroups = 1 + kServiceShards;
+std::uint32_t service_group_of(const std::string& service);
+
+struct FollowerSettings {
+  Millis lease_ms = 4000;  // how long the configuration counts as fresh after the last poll that was answered
+  bool is_store = false;
+};
+
+class ControlFollower {
+ public:
+  struct Events {
+    std::function<void()> on_configuration;
+    std::function<void()> on_placement;
+    std::function<void()> on_servers;
+  };
+
+  ControlFollower(Network& network, PartialView& view, FollowerSettings settings);
+  void set_events(Events events) { events_ = std::move(events); }
+  void set_in_sync_source(std::function<std::vector<InSync>()> source) {
+    in_sync_source_ = std::move(source);
+  }
+
+  void tick(Millis now);
+  void on_reply(Millis now, const std::string& from, const PollReply& reply);
+  void set_leaving() { leaving_ = true; }
+  // Asks for quota at once where a tenant has run out.
+  void poll_if_urgent(Millis now);
+
+  // Null before the first version has come.
+  std::shared_ptr<const Configuration> configuration() const { return state_.configuration(); }
+  const ControlState& state() const { return state_; }
+  bool is_fresh(Millis now) const { return now < lease_until_; }
+  // Whether a batch primary may still act as one.
+  bool has_primary_lease(Millis now) const { return now < answered_poll_ + kPrimaryLease; }
+  std::vector<ListedServer> servers() const;
+  bool has_all_lists() const { return lists_.size() == kServiceShards; }
+  std::size_t index() const { return index_; }
+  std::size_t count() const { return count_; }
+  QuotaLease& quota() { return quota_; }
+  // Where the leader of a group is believed to be; empty: not known.
+  const std::string& leader(std::uint32_t group) const { return leaders_[group].address; }
+  void hint_leader(std::uint32_t group, const std::string& address);
+
+ private:
+  static constexpr Millis kPrimaryLease = 1000;
+  struct Leader {
+    std::string address;
+    Millis asked = 0, heard = 0, next_poll = 0;
+    bool confirmed = false;
+  };
+  void poll(Millis now, std::uint32_t group);
+  std::string some_core_node();
+  Millis poll_interval(std::uint32_t group) const;
+  void take_configuration(const PollReply& reply);
+  void take_lists(const PollReply& reply);
+
+  Network& network_;
+  PartialView& view_;
+  FollowerSettings settings_;
+  Events events_;
+  std::function<std::vector<InSync>()> in_sync_source_;
+  std::array<Leader, kGroups> leaders_;
+  std::size_t next_core_ = 0;
+  ControlState state_;
+  std::map<std::uint32_t, ServerList> lists_;
+  QuotaLease quota_;
+  Millis lease_until_ = 0, answered_poll_ = -kPrimaryLease, last_urgent_ = 0;
+  std::size_t index_ = 0, count_ = 1, edges_ = 1;
+  bool leaving_ = false;
+};
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/control/journal.cpp
@@ -0,0 +1,153 @@
+#include "control/journal.h"
+
+#include <algorithm>
+
+#include "base/codec.h"
+
+namespace nettlestand::tier {
+namespace {
+
+constexpr std::uint64_t kSegmentBytes = 10U << 20;  // a configuration of 4 MiB with its history fits twice
+constexpr std::size_t kLeastSegments = 4;
+constexpr std::size_t kMostSegments = 6;
+
+enum class RecordKind : std::uint8_t { kIdentity, kHardState, kSnapshot, kEntry };
+
+struct Identity {
+  BOOST_HANA_DEFINE_STRUCT(Identity, (std::uint64_t, disk_id));
+};
+struct GroupHeader {
+  BOOST_HANA_DEFINE_STRUCT(GroupHeader, (RecordKind, kind), (GroupId, group));
+};
+
+template <class T>
+std::string record_of(RecordKind kind, GroupId group, const T& body) {
+  GroupHeader header{};
+  header.kind = kind;
+  header.group = group;
+  Encoder encoder;
+  encoder.put(header);
+  encoder.put(body);
+  return encoder.take();
+}
+
+// An entry replaces what stands at its index and all behind it.
+void add_entry(consensus::StoredState& state, consensus::LogEntry entry) {
+  const consensus::LogIndex first = state.snapshot ? state.snapshot->index + 1 : 1;
+  if (entry.index < first) return;
+  const std::size_t at = static_cast<std::size_t>(entry.index - first);
+  if (at > state.entries.size()) return;
+  state.entries.resize(at);
+  state.entries.push_back(std::move(entry));
+}
+
+void add_snapshot(consensus::StoredState& state, consensus::Snapshot snapshot) {
+  const consensus::LogIndex old_first = state.snapshot ? state.snapshot->index + 1 : 1;
+  if (snapshot.index >= old_first) {
+    const auto covered = static_cast<std::size_t>(snapshot.index - old_first + 1);
+    const bool continues =
+        covered <= state.entries.size() && state.entries[covered - 1].term == snapshot.term;
+    if (continues) {
+      state.entries.erase(state.entries.begin(),
+                          state.entries.begin() + static_cast<std::ptrdiff_t>(covered));
+    } else {
+      state.entries.clear();
+    }
+  }
+  state.snapshot = std::move(snapshot);
+}
+
+}  // namespace
+
+absl::StatusOr<std::unique_ptr<ControlJournal>> ControlJournal::open(const std::string& directory,
+                                                                     std::uint64_t disk_mb,
+                                                                     std::uint64_t new_identity) {
+  std::unique_ptr<ControlJournal> journal(new ControlJournal());
+  storage::RingOptions options;
+  options.directory = directory;
+  options.segment_bytes = kSegmentBytes;
+  const std::size_t fitting = static_cast<std::size_t>((disk_mb << 20) / kSegmentBytes);
+  options.max_segments = std::clamp(fitting, kLeastSegments, kMostSegments);
+  auto ring = storage::SegmentRing::open(
+      options, [&](std::string_view record, storage::Generation) { journal->load(record); });
+  if (!ring.ok()) return ring.status();
+  journal->ring_ = *std::move(ring);
+  if (journal->disk_id_ == 0) {
+    journal->disk_id_ = new_identity;
+    if (absl::Status status = journal->append_identity(); !status.ok()) return status;
+    if (absl::Status status = journal->sync(); !status.ok()) return status;
+  }
+  return journal;
+}
+
+void ControlJournal::load(std::string_view record) {
+  Decoder decoder(record);
+  GroupHeader header{};
+  decoder.get(header);
+  consensus::StoredState& state = stored_[header.group];
+  switch (header.kind) {
+    case RecordKind::kIdentity:
+      decoder.get(disk_id_);
+      return;
+    case RecordKind::kHardState:
+      decoder.get(state.hard);
+      return;
+    case RecordKind::kSnapshot: {
+      consensus::Snapshot snapshot{};
+      decoder.get(snapshot);
+      if (decoder.complete()) add_snapshot(state, std::move(snapshot));
+      return;
+    }
+    case RecordKind::kEntry: {
+      consensus::LogEntry entry{};
+      decoder.get(entry);
+      if (decoder.complete()) add_entry(state, std::move(entry));
+      return;
+    }
+  }
+}
+
+consensus::StoredState ControlJournal::take_stored(GroupId group) {
+  const auto found = stored_.find(group);
+  if (found == stored_.end()) return {};
+  consensus::StoredState out = std::move(found->second);
+  stored_.erase(found);
+  return out;
+}
+
+absl::Status ControlJournal::append_identity() {
+  Identity identity{};
+  identity.disk_id = disk_id_;
+  return ring_->append(record_of(RecordKind::kIdentity, 0, identity)).status();
+}
+
+absl::Status ControlJournal::append(GroupId group, const consensus::Ready& ready) {
+  absl::Status status = absl::OkStatus();
+  const auto add = [&](RecordKind kind, const auto& body) {
+    if (status.ok()) status = ring_->append(record_of(kind, group, body)).status();
+  };
+  if (ready.hard) add(RecordKind::kHardState, *ready.hard);
+  if (ready.snapshot) add(RecordKind::kSnapshot, *ready.snapshot);
+  for (const consensus::LogEntry& entry : ready.entries) add(RecordKind::kEntry, entry);
+  return status;
+}
+
+bool ControlJournal::wants_checkpoint() const { return ring_->free_segments() <= 2; }
+
+absl::Status ControlJournal::checkpoint(const std::map<GroupId, consensus::StoredState>& groups) {
+  if (absl::Status status = ring_->roll(); !status.ok()) return status;
+  const storage::Generation first = ring_->current();
+  if (absl::Status status = append_identity(); !status.ok()) return status;
+  for (const auto& [group, state] : groups) {
+    consensus::Ready whole;
+    whole.hard = state.hard;
+    whole.snapshot = state.snapshot;
+    whole.entries = state.entries;
+    if (absl::Status status = append(group, whole); !status.ok()) return status;
+  }
+  if (absl::Status status = ring_->sync(); !status.ok()) return status;
+  ring_->release_before(first);
+  return absl::OkStatus();
+}
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/control/placement.cpp
@@ -0,0 +1,198 @@
+#include "control/placement.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace nettlestand::tier {
+namespace {
+
+constexpr Millis kFirstTableWaitMs = 1500;  // after the group has formed, for storage machines to turn up
+
+bool contains(const std::vector<StoreId>& ids, StoreId id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+// Rows in which a store stands.
+std::size_t load_of(const PlacementTable& table, StoreId id, bool as_primary) {
+  return static_cast<std::size_t>(
+      std::count_if(table.shards.begin(), table.shards.end(), [&](const ShardPlacement& row) {
+        return as_primary ? !row.members.empty() && row.members.front() == id
+                          : contains(row.members, id) || contains(row.joining, id);
+      }));
+}
+
+}  // namespace
+
+std::uint32_t batch_shard_of(const std::string& tenant) {
+  return static_cast<std::uint32_t>(XXH64(tenant.data(), tenant.size(), 0) % kBatchShards);
+}
+
+void PlacementPlanner::on_poll(Millis now, const Poll& poll) {
+  if (!poll.node.is_store || poll.node.disk_id == 0) return;
+  Live& live = live_[poll.node.disk_id];
+  live.node = poll.node;
+  live.heard = now;
+  for (const InSync& report : poll.in_sync) in_sync_.push_back(report);
+}
+
+bool PlacementPlanner::is_live(Millis now, StoreId id) const {
+  // A new leader has heard nobody yet: all count as live until they have had the time to poll.
+  if (now < since_ + kStoreDeadMs) return true;
+  const auto found = live_.find(id);
+  return found != live_.end() && found->second.heard + kStoreDeadMs > now;
+}
+
+bool PlacementPlanner::is_usable(Millis now, const PlacementTable& table, StoreId id) const {
+  const StoreRecord* record = table.store(id);
+  return record != nullptr && !record->retiring && !record->retired && is_live(now, id) && live_.contains(id);
+}
+
+std::vector<StoreId> PlacementPlanner::usable(Millis now, const PlacementTable& table) const {
+  std::vector<StoreId> out;
+  for (const StoreRecord& record : table.stores) {
+    if (is_usable(now, table, record.id)) out.push_back(record.id);
+  }
+  return out;
+}
+
+std::optional<PlacementChange> PlacementPlanner::first_table(Millis now, const PlacementTable& table) const {
+  std::vector<StoreId> stores = usable(now, table);
+  if (stores.size() < copies_ || now < since_ + kFirstTableWaitMs) return std::nullopt;
+  // Neighbours in this order stand in different zones where there are several.
+  std::sort(stores.begin(), stores.end(),
+            [&](StoreId a, StoreId b) { return live_.at(a).node.zone < live_.at(b).node.zone; });
+  std::vector<StoreId> order;
+  for (std::size_t skip = 0; order.size() < stores.size(); ++skip) {
+    std::map<std::string, std::size_t> seen;
+    for (const StoreId id : stores) {
+      if (seen[live_.at(id).node.zone]++ == skip) order.push_back(id);
+    }
+  }
+  PlacementChange change{};
+  for (std::uint32_t shard = 0; shard < kBatchShards; ++shard) {
+    ShardPlacement row{};
+    row.shard = shard;
+    row.epoch = 1;
+    // The distance to the copies changes with each round, so that a lost store's load spreads over all
+    // others.
+    const std::size_t round = shard / order.size();
+    for (std::size_t copy = 0; copy < copies_; ++copy) {
+      const std::size_t step = copy == 0 ? 0 : 1 + (copy - 1 + round) % (order.size() - 1);
+      row.members.push_back(order[(shard + step) % order.size()]);
+    }
+    change.shards.push_back(std::move(row));
+  }
+  return change;
+}
+
+std::optional<StoreId> PlacementPlanner::replacement(Millis now, const PlacementTable& table,
+                                                     const ShardPlacement& row) const {
+  std::optional<StoreId> best;
+  std::size_t best_rank = 0;
+  const std::string home = row.members.empty() || !live_.contains(row.members.front())
+                               ? std::string()
+                               : live_.at(row.members.front()).node.zone;
+  for (const StoreId id : usable(now, table)) {
+    if (contains(row.members, id) || contains(row.joining, id)) continue;
+    const bool same_zone = live_.at(id).node.zone == home;
+    const std::size_t rank = load_of(table, id, false) + (same_zone ? kBatchShards : 0);
+    if (!best || rank < best_rank) {
+      best = id;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+std::optional<ShardPlacement> PlacementPlanner::next_row(Millis now, const PlacementTable& table,
+                                                         const ShardPlacement& row) const {
+  ShardPlacement next = row;
+  for (const InSync& report : in_sync_) {
+    if (report.shard != row.shard || report.epoch != row.epoch || !contains(next.joining, report.store))
+      continue;
+    std::erase(next.joining, report.store);
+    next.members.push_back(report.store);
+  }
+  const auto dead = [&](StoreId id) { return !is_live(now, id); };
+  std::erase_if(next.joining, dead);
+  std::vector<StoreId> living = next.members;
+  std::erase_if(living, dead);
+  if (!living.empty()) next.members = living;  // with no member alive nobody else may take over
+  const auto leaving = [&](StoreId id) {
+    const StoreRecord* record = table.store(id);
+    return record != nullptr && (record->retiring || record->retired);
+  };
+  const auto staying = static_cast<std::size_t>(
+      std::count_if(next.members.begin(), next.members.end(), [&](StoreId id) { return !leaving(id); }));
+  if (staying >= copies_) std::erase_if(next.members, leaving);
+  if (!living.empty() && staying + next.joining.size() < copies_) {
+    if (const auto found = replacement(now, table, next)) next.joining.push_back(*found);
+  }
+  // A surplus is left behind by a machine that came back while it was replaced.
+  while (next.members.size() > copies_ && staying >= copies_ && !leaving(next.members.back()))
+    next.members.pop_back();
+  if (next.members == row.members && next.joining == row.joining) return std::nullopt;
+  ++next.epoch;
+  return next;
+}
+
+std::optional<PlacementChange> PlacementPlanner::plan(Millis now, const PlacementTable& table) {
+  PlacementChange change{};
+  for (const auto& [id, live] : live_) {
+    const StoreRecord* known = table.store(id);
+    if (live.heard + kStoreDeadMs <= now || (known != nullptr && known->address == live.node.address))
+      continue;
+    StoreRecord record{};
+    if (known != nullptr) record = *known;
+    record.id = id;
+    record.name = live.node.name;
+    record.address = live.node.address;
+    // Taken away for good under this name: what is there now is another machine, of which nothing was asked.
+    change.stores.push_back(std::move(record));
+  }
+  for (const StoreRecord& record : table.stores) {
+    if (!record.retiring || record.retired || !is_empty(table, record.name)) continue;
+    StoreRecord retired = record;
+    retired.retired = true;
+    change.stores.push_back(std::move(retired));
+  }
+  if (!change.empty()) return change;
+  if (table.shards.empty()) return first_table(now, table);
+  PlacementTable next = table;  // so that each row sees the load that the ones before it have moved
+  for (std::size_t i = 0; i < table.shards.size(); ++i) {
+    if (auto row = next_row(now, next, next.shards[i])) {
+      next.shards[i] = *row;
+      change.shards.push_back(*std::move(row));
+    }
+  }
+  in_sync_.clear();
+  if (change.empty()) return std::nullopt;
+  return change;
+}
+
+std::optional<PlacementChange> PlacementPlanner::retire(Millis now, const PlacementTable& table,
+                                                        const std::string& name, bool& refused) const {
+  refused = false;
+  const StoreRecord* record = table.store_named(name);
+  if (record == nullptr) return std::nullopt;
+  PlacementChange change{};
+  if (record->retiring) return change;
+  std::vector<StoreId> left = usable(now, table);
+  std::erase(left, record->id);
+  if (left.size() < copies_) {
+    refused = true;
+    return std::nullopt;
+  }
+  StoreRecord retiring = *record;
+  retiring.retiring = true;
+  change.stores.push_back(std::move(retiring));
+  return change;
+}
+
+bool PlacementPlanner::is_empty(const PlacementTable& table, const std::string& name) {
+  const StoreRecord* record = table.store_named(name);
+  return record != nullptr && load_of(table, record->id, false) == 0;
+}
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/control/placement.h
@@ -0,0 +1,63 @@
+// Where the shards of batch jobs are kept: decides changes of the placement table. No I/O.
+//
+// Primary-backup with the configuration group as master (as published for PacificA): every member holds all
+// that was acknowledged, a primary that can't reach one waits until the master has taken it out, and only a
+// member is ever promoted. docs/design/system.md compares this with majorities.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "messaging/messages.h"
+
+namespace nettlestand::tier {
+
+constexpr std::uint32_t kBatchShards = 24;
+// A primary serves for this long after it sent a poll that was answered.
+constexpr Millis kPrimaryLeaseMs = 1000;
+// A store that has not polled for this long is taken for dead: its lease has run out by then.
+constexpr Millis kStoreDeadMs = 1700;
+
+// The shard of a tenant's jobs: all of them stand together, so that their waiting tokens are counted in one
+// place.
+std::uint32_t batch_shard_of(const std::string& tenant);
+
+class PlacementPlanner {
+ public:
+  // `tolerance`: disks that may be lost at once; every job is kept on one more.
+  PlacementPlanner(std::size_t tolerance, Millis leader_since)
+      : copies_(tolerance + 1), since_(leader_since) {}
+
+  void on_poll(Millis now, const Poll& poll);
+  // What to change next, or nothing.
+  std::optional<PlacementChange> plan(Millis now, const PlacementTable& table);
+  // The change that starts to empty a machine; nothing where it is unknown. `refused`: too few would be left.
+  std::optional<PlacementChange> retire(Millis now, const PlacementTable& table, const std::string& name,
+                                        bool& refused) const;
+  // Whether a retiring machine holds nothing any more.
+  static bool is_empty(const PlacementTable& table, const std::string& name);
+
+ private:
+  struct Live {
+    NodeInfo node;
+    Millis heard = 0;
+  };
+  bool is_live(Millis now, StoreId id) const;
+  bool is_usable(Millis now, const PlacementTable& table, StoreId id) const;
+  std::optional<PlacementChange> first_table(Millis now, const PlacementTable& table) const;
+  // The shard's next row, or nothing where it may stay.
+  std::optional<ShardPlacement> next_row(Millis now, const PlacementTable& table,
+                                         const ShardPlacement& row) const;
+  std::optional<StoreId> replacement(Millis now, const PlacementTable& table,
+                                     const ShardPlacement& row) const;
+  std::vector<StoreId> usable(Millis now, const PlacementTable& table) const;
+
+  std::size_t copies_;
+  Millis since_;
+  std::map<StoreId, Live> live_;
+  std::vector<InSync> in_sync_;
+};
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/control/state.cpp
@@ -0,0 +1,197 @@
+#include "control/state.h"
+
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace nettlestand::tier {
+namespace {
+
+using Json = rapidjson::Value;
+
+constexpr std::size_t kKeptOrders = 8192;  // so many taken orders are recognised when they are sent again
+
+// The position of the item with a name in a list, or the list's size.
+rapidjson::SizeType find_named(const Json& list, const Json& name) {
+  for (rapidjson::SizeType i = 0; i < list.Size(); ++i) {
+    if (!list[i].IsObject()) continue;
+    const auto found = list[i].FindMember("name");
+    if (found != list[i].MemberEnd() && found->value == name) return i;
+  }
+  return list.Size();
+}
+
+bool upsert(rapidjson::Document& document, const Json& lists) {
+  auto& allocator = document.GetAllocator();
+  for (const auto& list : lists.GetObject()) {
+    auto target = document.FindMember(list.name);
+    if (target == document.MemberEnd()) {
+      document.AddMember(Json(list.name, allocator), Json(list.value, allocator), allocator);
+      continue;
+    }
+    if (!list.value.IsArray() || !target->value.IsArray()) {
+      target->value.CopyFrom(list.value, allocator);
+      continue;
+    }
+    for (const Json& item : list.value.GetArray()) {
+      if (!item.IsObject() || !item.HasMember("name")) return false;
+      const rapidjson::SizeType at = find_named(target->value, item["name"]);
+      Json copy(item, allocator);
+      if (at < target->value.Size()) {
+        target->value[at] = copy;
+      } else {
+        target->value.PushBack(copy, allocator);
+      }
+    }
+  }
+  return true;
+}
+
+bool remove(rapidjson::Document& document, const Json& lists) {
+  for (const auto& list : lists.GetObject()) {
+    if (!list.value.IsArray()) return false;
+    auto target = document.FindMember(list.name);
+    if (target == document.MemberEnd() || !target->value.IsArray()) continue;
+    for (const Json& name : list.value.GetArray()) {
+      const rapidjson::SizeType at = find_named(target->value, name);
+      if (at < target->value.Size()) target->value.Erase(target->value.Begin() + at);
+    }
+  }
+  return true;
+}
+
+// The configuration's text with the named items changed; empty where the change can't be read.
+std::string updated(const std::string& text, const std::string& change_text) {
+  rapidjson::Document change, document;
+  change.Parse<rapidjson::kParseIterativeFlag>(change_text.data(), change_text.size());
+  if (change.HasParseError() || !change.IsObject() || !change.HasMember("generation")) return {};
+  document.Parse<rapidjson::kParseIterativeFlag>(text.data(), text.size());
+  if (document.HasParseError() || !document.IsObject()) return {};
+  const auto removed = change.FindMember("remove"), added = change.FindMember("upsert");
+  if (removed != change.MemberEnd() && (!removed->value.IsObject() || !remove(document, removed->value)))
+    return {};
+  if (added != change.MemberEnd() && (!added->value.IsObject() || !upsert(document, added->value))) return {};
+  document["generation"].CopyFrom(change["generation"], document.GetAllocator());
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+  document.Accept(writer);
+  return {buffer.GetString(), buffer.GetSize()};
+}
+
+}  // namespace
+
+const StoreRecord* PlacementTable::store(StoreId id) const {
+  for (const StoreRecord& record : stores) {
+    if (record.id == id) return &record;
+  }
+  return nullptr;
+}
+
+const StoreRecord* PlacementTable::store_named(const std::string& name) const {
+  for (auto record = stores.rbegin(); record != stores.rend(); ++record) {
+    if (record->name == name) return &*record;
+  }
+  return nullptr;
+}
+
+TakenOrder ControlState::digest_of(const ConfigOrder& order) {
+  const auto kind = static_cast<std::uint64_t>(order.kind);
+  TakenOrder out{};
+  out.digest_high = XXH64(order.body.data(), order.body.size(), order.base * 2 + kind);
+  out.digest_low = XXH64(order.body.data(), order.body.size(), ~(order.base * 2 + kind));
+  return out;
+}
+
+ControlState::Judged ControlState::evaluate(const ConfigOrder& order) const {
+  Judged out;
+  const TakenOrder digest = digest_of(order);
+  for (const TakenOrder& taken : history_) {
+    if (taken.digest_high == digest.digest_high && taken.digest_low == digest.digest_low) {
+      out.outcome = OrderOutcome::kTakenBefore;
+      return out;
+    }
+  }
+  if (order.base != generation()) {
+    out.outcome = OrderOutcome::kConflict;
+    out.why = "version " + std::to_string(generation()) + " is in place";
+    return out;
+  }
+  out.text = order.kind == OrderKind::kReplace ? order.body : updated(text_, order.body);
+  auto parsed = Configuration::parse(out.text);
+  if (!parsed.ok()) {
+    out.why = std::string(parsed.status().message());
+    return out;
+  }
+  if ((*parsed)->generation() <= generation()) {
+    out.why = "generation is not above " + std::to_string(generation());
+    return out;
+  }
+  out.configuration = *std::move(parsed);
+  out.outcome = OrderOutcome::kTaken;
+  return out;
+}
+
+OrderOutcome ControlState::judge(const ConfigOrder& order, std::string* why) const {
+  Judged judged = evaluate(order);
+  if (why != nullptr) *why = std::move(judged.why);
+  return judged.outcome;
+}
+
+OrderOutcome ControlState::apply(const ConfigOrder& order) {
+  Judged judged = evaluate(order);
+  if (judged.outcome != OrderOutcome::kTaken) return judged.outcome;
+  configuration_ = std::move(judged.configuration);
+  text_ = std::move(judged.text);
+  ++sequence_;
+  TakenOrder taken = digest_of(order);
+  taken.generation = configuration_->generation();
+  history_.push_back(taken);
+  if (history_.size() > kKeptOrders) history_.pop_front();
+  return OrderOutcome::kTaken;
+}
+
+void ControlState::apply(const PlacementChange& change) {
+  ++placement_.sequence;
+  for (const StoreRecord& record : change.stores) {
+    const auto found = std::find_if(placement_.stores.begin(), placement_.stores.end(),
+                                    [&](const StoreRecord& r) { return r.id == record.id; });
+    if (found == placement_.stores.end()) {
+      placement_.stores.push_back(record);
+    } else {
+      *found = record;
+    }
+  }
+  for (const ShardPlacement& shard : change.shards) {
+    const auto found = std::find_if(placement_.shards.begin(), placement_.shards.end(),
+                                    [&](const ShardPlacement& s) { return s.shard == shard.shard; });
+    if (found == placement_.shards.end()) {
+      placement_.shards.push_back(shard);
+    } else if (shard.epoch > found->epoch) {
+      *found = shard;
+    }
+  }
+}
+
+ControlSnapshot ControlState::snapshot() const {
+  ControlSnapshot out{};
+  out.sequence = sequence_;
+  out.text = text_;
+  out.history.assign(history_.begin(), history_.end());
+  out.placement = placement_;
+  return out;
+}
+
+void ControlState::restore(const ControlSnapshot& snapshot) {
+  sequence_ = snapshot.sequence;
+  text_ = snapshot.text;
+  history_.assign(snapshot.history.begin(), snapshot.history.end());
+  placement_ = snapshot.placement;
+  configuration_.reset();
+  if (text_.empty()) return;
+  if (auto parsed = Configuration::parse(text_); parsed.ok()) configuration_ = *std::move(parsed);
+}
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/control/state.h
@@ -0,0 +1,115 @@
+// The state machine of the configuration's shard: the operator's orders and the placement of batch shards.
+//
+// Every replica applies the same commands in the same order, so all that is decided here is decided alike.
+#pragma once
+
+#include <boost/hana.hpp>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "control/configuration.h"
+
+namespace nettlestand::tier {
+
+using StoreId = std::uint64_t;  // of a storage machine's disk; an emptied disk is another one
+
+enum class OrderKind : std::uint8_t { kReplace, kUpdate };
+
+// A change of the configuration as the operator sent it.
+struct ConfigOrder {
+  BOOST_HANA_DEFINE_STRUCT(ConfigOrder, (OrderKind, kind), (std::uint64_t, base), (std::string, body));
+};
+
+enum class OrderOutcome : std::uint8_t {
+  kTaken,
+  kTakenBefore,  // this very order is in the history
+  kConflict,     // another version is current
+  kInvalid
+};
+
+// Where one shard of the batch jobs is kept.
+struct ShardPlacement {
+  BOOST_HANA_DEFINE_STRUCT(ShardPlacement, (std::uint32_t, shard), (std::uint64_t, epoch),
+                           (std::vector<StoreId>,
+                            members),  // hold all that was acknowledged; the first is primary
+                           (std::vector<StoreId>, joining));  // get what is new, and are brought up to date
+};
+
+struct StoreRecord {
+  BOOST_HANA_DEFINE_STRUCT(StoreRecord, (StoreId, id), (std::string, name), (std::string, address),
+                           (bool, retiring), (bool, retired));
+};
+
+struct PlacementTable {
+  BOOST_HANA_DEFINE_STRUCT(PlacementTable, (std::uint64_t, sequence), (std::vector<StoreRecord>, stores),
+                           (std::vector<ShardPlacement>, shards));
+  const StoreRecord* store(StoreId id) const;
+  const StoreRecord* store_named(const std::string& name) const;  // the newest disk of that machine
+};
+
+// Replaces the named rows of the placement table and leaves the others.
+struct PlacementChange {
+  BOOST_HANA_DEFINE_STRUCT(PlacementChange, (std::vector<StoreRecord>, stores),
+                           (std::vector<ShardPlacement>, shards));
+  bool empty() const { return stores.empty() && shards.empty(); }
+};
+
+// A command in the log: one of the two lists holds one element.
+struct ControlCommand {
+  BOOST_HANA_DEFINE_STRUCT(ControlCommand, (std::vector<ConfigOrder>, orders),
+                           (std::vector<PlacementChange>, placements));
+};
+
+struct TakenOrder {
+  BOOST_HANA_DEFINE_STRUCT(TakenOrder, (std::uint64_t, digest_high), (std::uint64_t, digest_low),
+                           (std::uint64_t, generation));
+};
+
+// The whole state, as it stands in snapshots.
+struct ControlSnapshot {
+  BOOST_HANA_DEFINE_STRUCT(ControlSnapshot, (std::uint64_t, sequence), (std::string, text),
+                           (std::vector<TakenOrder>, history), (PlacementTable, placement));
+};
+
+class ControlState {
+ public:
+  OrderOutcome apply(const ConfigOrder& order);
+  void apply(const PlacementChange& change);
+  // The outcome that the order would have now; changes nothing.
+  OrderOutcome judge(const ConfigOrder& order, std::string* why = nullptr) const;
+
+  ControlSnapshot snapshot() const;
+  void restore(const ControlSnapshot& snapshot);
+
+  // Counts the orders taken: a later version has a higher sequence.
+  std::uint64_t sequence() const { return sequence_; }
+  std::uint64_t generation() const { return configuration_ ? configuration_->generation() : 0; }
+  const std::string& text() const { return text_; }
+  // Null before the first order.
+  const std::shared_ptr<const Configuration>& configuration() const { return configuration_; }
+  const PlacementTable& placement() const { return placement_; }
+  // At followers, which are told whole tables.
+  void set_placement(PlacementTable table) { placement_ = std::move(table); }
+
+ private:
+  struct Judged {
+    OrderOutcome outcome = OrderOutcome::kInvalid;
+    std::string text, why;
+    std::shared_ptr<const Configuration> configuration;
+  };
+  Judged evaluate(const ConfigOrder& order) const;
+  static TakenOrder digest_of(const ConfigOrder& order);
+
+  std::uint64_t sequence_ = 0;
+  std::string text_;
+  std::shared_ptr<const Configuration> configuration_;
+  std::deque<TakenOrder> history_;
+  PlacementTable placement_{};
+};
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/forwarding/forwarder.h
@@ -0,0 +1,87 @@
+// The one way in which a request reaches a server: choosing it, sending, trying again where that is allowed,
+// and passing the answer on. Live requests and batch items alike go through it.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "control/configuration.h"
+#include "forwarding/server_pool.h"
+#include "forwarding/upstream.h"
+
+namespace nettlestand::tier {
+
+// A request on its way. The configuration is held, so the route stays valid while it changes.
+struct ForwardRequest {
+  std::shared_ptr<const Configuration> configuration;
+  const Route* route = nullptr;
+  std::string service, tenant;
+  std::string id, method, target, host;
+  std::vector<std::pair<std::string, std::string>> headers;  // that go on to the server
+  std::string body;
+  Millis deadline = 0;              // of the client and of the route, whichever comes first
+  bool is_item = false;             // of a batch job
+  std::uint64_t last_event_id = 0;  // to continue after; 0: from the start
+  bool has_last_event_id = false;
+  // Asked right before each send: whether the request may still go to a server.
+  std::function<bool()> may_send;
+};
+
+// Where an answer goes.
+class AnswerSink {
+ public:
+  virtual ~AnswerSink() = default;
+  // The head of the answer that will be passed on; called once. False ends the request: the client is gone.
+  virtual boost::asio::awaitable<bool> head(const ResponseHead& head) = 0;
+  // Bytes of the body; of an event stream, whole events.
+  virtual boost::asio::awaitable<bool> data(std::string_view bytes) = 0;
+  // Set once the client is known to be gone; `abandon` then ends the call that is under way.
+  bool client_gone = false;
+  std::function<void()> abandon;
+};
+
+enum class ForwardEnd : std::uint8_t {
+  kAnswered,  // the server's whole answer was passed on
+  kCut,       // it was begun and can't be completed
+  kRefused,   // it has not run and will not
+  kFailed,    // it may have run, and nothing was passed on
+  kTimedOut,  // the same, as the deadline has come
+  kAbandoned  // the client left
+};
+
+struct ForwardResult {
+  ForwardEnd end = ForwardEnd::kFailed;
+  int status = 0;                // of the last answer of a server
+  std::uint64_t last_event = 0;  // passed on
+};
+
+class Forwarder {
+ public:
+  Forwarder(boost::asio::io_context& io, std::uint64_t seed);
+  ~Forwarder();
+
+  boost::asio::awaitable<ForwardResult> forward(ForwardRequest request, AnswerSink& sink);
+
+  ServerPool& pool() { return pool_; }
+  UpstreamConnections& connections() { return *connections_; }
+
+ private:
+  struct Progress;
+  boost::asio::awaitable<CallEnd> attempt(ForwardRequest& request, const ChosenServer& server,
+                                          Progress& progress, AnswerSink& sink);
+  ClientAdmission& admission(const std::string& tenant, const std::string& service);
+
+  boost::asio::io_context& io_;
+  ServerPool pool_;
+  std::unique_ptr<UpstreamConnections> connections_;
+  quinceusher::Random random_;
+  std::map<std::pair<std::string, std::string>, ClientAdmission> admissions_;
+};
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/forwarding/server_pool.cpp
@@ -0,0 +1,219 @@
+#include "forwarding/server_pool.h"
+
+#include <algorithm>
+
+#include "admission/subset.h"
+
+namespace nettlestand::tier {
+namespace {
+
+constexpr std::size_t kSubset = 8;  // servers at least: enough spread, few connections
+constexpr std::size_t kCover = 2;   // nodes that use each server, at least
+constexpr Millis kLeastPatienceMs = 300;
+constexpr double kPatienceTimes = 6;  // x the usual time to the first byte
+constexpr double kFirstByteGain = 0.05;
+constexpr int kFailuresToShun = 2;  // in a row
+constexpr Millis kShunMs = 700;     // doubled with each further failure
+constexpr Millis kMostShunMs = 3000;
+constexpr double kItemShare = 0.8;    // of a server's slots that items may fill
+constexpr Millis kLoadFreshMs = 400;  // what a server told of its load counts for so long
+
+// Admission: a project's defaults round the source's design.
+constexpr double kBucketSeconds = 0.1;
+constexpr int kBuckets = 20;
+constexpr int kLastSecondBuckets = 10;
+constexpr double kStartLimit = 400;  // calls per second: generous
+constexpr double kFloorLimit = 20;
+constexpr quinceusher::Regimes kRegimes{kBuckets * kBucketSeconds, kLastSecondBuckets* kBucketSeconds, 10,
+                                        1.5, 0.1};
+
+}  // namespace
+
+void ServerPool::set_servers(const std::vector<ListedServer>& servers) {
+  std::map<std::string, ServiceView> services;
+  std::unordered_map<std::string, Server> kept;
+  for (const ListedServer& told : servers) {
+    Server& server = kept[told.id];
+    if (const auto known = servers_.find(told.id); known != servers_.end()) server = known->second;
+    server.told = told;
+    if (server.slots == 0) server.slots = static_cast<int>(told.slots);
+    services[told.service].ring.push_back(told.id);
+  }
+  // Calls that are out at a server that is gone are still to be told of.
+  for (auto& [id, server] : servers_) {
+    if (kept.contains(id) || server.in_flight == 0) continue;
+    server.told.draining = true;
+    kept.emplace(id, server);
+  }
+  servers_ = std::move(kept);
+  for (auto& [name, view] : services) {
+    if (const auto known = services_.find(name); known != services_.end()) {
+      view.first_byte_ms = known->second.first_byte_ms;
+      view.measured = known->second.measured;
+    }
+  }
+  services_ = std::move(services);
+  for (auto& [name, view] : services_) rebuild(view);
+}
+
+void ServerPool::set_position(std::size_t index, std::size_t count) {
+  if (index == index_ && count == count_) return;
+  index_ = index;
+  count_ = std::max<std::size_t>(count, 1);
+  for (auto& [name, view] : services_) rebuild(view);
+}
+
+void ServerPool::rebuild(ServiceView& view) {
+  std::erase_if(view.ring, [this](const std::string& id) { return servers_.at(id).told.draining; });
+  std::sort(view.ring.begin(), view.ring.end(), [](const std::string& a, const std::string& b) {
+    return std::make_pair(quinceusher::hash_of(a), a) < std::make_pair(quinceusher::hash_of(b), b);
+  });
+  const std::size_t cover = (kCover * view.ring.size() + count_ - 1) / count_;
+  view.subset = quinceusher::subset_of(index_ % count_, count_, view.ring.size(), std::max(kSubset, cover));
+}
+
+bool ServerPool::looks_dead(Millis now, const Server& server) const {
+  return server.silent > 0 && server.last_byte + patience(server.told.service) < now;
+}
+
+bool ServerPool::may_use(Millis now, const Server& server, bool is_item) const {
+  if (server.told.draining || now < server.shunned_until || looks_dead(now, server)) return false;
+  if (server.slots <= 0) return true;
+  if (!is_item) return server.in_flight < server.slots;
+  const int share = std::max(1, static_cast<int>(kItemShare * server.slots / static_cast<double>(count_)));
+  if (server.items >= share) return false;
+  return server.load_at + kLoadFreshMs < now || server.running + server.waiting < kItemShare * server.slots;
+}
+
+double ServerPool::busyness(const Server& server) const { return server.in_flight; }
+
+std::optional<ChosenServer> ServerPool::pick(Millis now, const std::string& service,
+                                             const std::vector<std::string>& tried, bool is_item) {
+  const auto found = services_.find(service);
+  if (found == services_.end()) return std::nullopt;
+  const ServiceView& view = found->second;
+  std::vector<const Server*> choice;
+  const auto look = [&](const std::string& id) {
+    if (std::find(tried.begin(), tried.end(), id) != tried.end()) return;
+    const Server& server = servers_.at(id);
+    if (may_use(now, server, is_item)) choice.push_back(&server);
+  };
+  for (const std::size_t at : view.subset) look(view.ring[at]);
+  if (choice.empty()) {
+    for (const std::string& id : view.ring) look(id);  // outside the subset too, before a call is refused
+  }
+  if (choice.empty()) return std::nullopt;
+  const Server* a = choice[random_.below(choice.size())];
+  const Server* b = choice[random_.below(choice.size())];
+  const Server* chosen = busyness(*b) < busyness(*a) ? b : a;
+  return ChosenServer{chosen->told.id, chosen->told.address};
+}
+
+bool ServerPool::is_usable(const std::string& service, const std::string& id) const {
+  const auto found = servers_.find(id);
+  return found != servers_.end() && !found->second.told.draining && found->second.told.service == service;
+}
+
+void ServerPool::on_sent(Millis now, const std::string& id, bool is_item) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  Server& server = found->second;
+  if (server.silent++ == 0) server.last_byte = now;
+  ++server.in_flight;
+  if (is_item) ++server.items;
+}
+
+void ServerPool::on_first_byte(Millis now, const std::string& id, Millis elapsed) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  Server& server = found->second;
+  --server.silent;
+  server.last_byte = now;
+  server.failures = 0;
+  const auto view = services_.find(server.told.service);
+  if (view == services_.end()) return;
+  ServiceView& service = view->second;
+  const double sample = static_cast<double>(elapsed);
+  service.first_byte_ms += (service.measured ? kFirstByteGain : 1) * (sample - service.first_byte_ms);
+  service.measured = true;
+}
+
+void ServerPool::on_end(Millis now, const std::string& id, CallEnd end, bool is_item, bool had_first_byte) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  Server& server = found->second;
+  --server.in_flight;
+  if (is_item) --server.items;
+  if (!had_first_byte) --server.silent;
+  switch (end) {
+    case CallEnd::kAnswered:
+      server.failures = 0;
+      return;
+    case CallEnd::kAbandoned:
+    case CallEnd::kFailed:
+    case CallEnd::kNotExecuted:
+      return;
+    case CallEnd::kGone:
+      server.told.draining = true;  // until a list shows it again
+      return;
+    case CallEnd::kNotSent:
+    case CallEnd::kBroken:
+    case CallEnd::kTimedOut: {
+      if (++server.failures < kFailuresToShun) return;
+      const int doublings = std::min(server.failures - kFailuresToShun, 4);
+      server.shunned_until = now + std::min(kShunMs << doublings, kMostShunMs);
+      return;
+    }
+  }
+}
+
+void ServerPool::on_load(Millis now, const std::string& id, int running, int waiting, int slots) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  Server& server = found->second;
+  server.running = running;
+  server.waiting = waiting;
+  if (slots > 0) server.slots = slots;
+  server.load_at = now;
+}
+
+Millis ServerPool::patience(const std::string& service) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) return kLeastPatienceMs;
+  return std::max(kLeastPatienceMs, static_cast<Millis>(kPatienceTimes * found->second.first_byte_ms));
+}
+
+int ServerPool::items_in_flight(const std::string& service) const {
+  int sum = 0;
+  for (const auto& [id, server] : servers_) sum += server.told.service == service ? server.items : 0;
+  return sum;
+}
+
+std::size_t ServerPool::size_of(const std::string& service) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? 0 : found->second.ring.size();
+}
+
+ClientAdmission::ClientAdmission() : window_(kBucketSeconds, kBuckets, kLastSecondBuckets) {
+  limit_.limit = kStartLimit;
+  limit_.floor = kFloorLimit;
+}
+
+ClientAdmission::Decision ClientAdmission::admit(Millis now, quinceusher::Random& random) {
+  const double seconds = static_cast<double>(now) / 1000;
+  if (window_.admit(seconds, kRegimes, limit_.limit, random)) return Decision::kSend;
+  const auto sums = window_.sums(seconds);
+  const bool denied = quinceusher::ClientWindow::factor(kRegimes, limit_.limit, sums) >= 1;
+  return denied ? Decision::kDeny : Decision::kSuppress;
+}
+
+void ClientAdmission::on_end(Millis now, CallEnd end) {
+  if (end == CallEnd::kAbandoned || end == CallEnd::kGone) return;
+  const double seconds = static_cast<double>(now) / 1000;
+  const bool bad = end != CallEnd::kAnswered && end != CallEnd::kFailed;
+  if (!limit_.count(seconds, bad, false)) return;
+  const auto sums = window_.sums(seconds);
+  limit_.review(seconds, (sums.total - sums.declined) / kRegimes.window_s, limit_.floor, 1);
+}
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/forwarding/server_pool.h
@@ -0,0 +1,114 @@
+// Which server gets a call: fixed subsets, two random members, judged by the node's own calls in flight.
+// Decides only; the host tells what became of each call.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "admission/client_window.h"
+#include "admission/learned_limit.h"
+#include "admission/random.h"
+#include "base/time.h"
+#include "messaging/messages.h"
+
+namespace nettlestand::tier {
+
+// What became of one call to a server.
+enum class CallEnd : std::uint8_t {
+  kAnswered,     // whole
+  kNotExecuted,  // turned away: it did not run
+  kGone,         // another server has the address: it did not run
+  kNotSent,      // no connection came about, or it broke before anything was sent
+  kFailed,       // answered with an error of the server's own
+  kBroken,       // the connection ended, or what came was no answer: it may have run
+  kTimedOut,     // no answer in time
+  kAbandoned     // the client left
+};
+
+// Whether a call that ended so is known not to have run.
+inline bool never_ran(CallEnd end) {
+  return end == CallEnd::kNotExecuted || end == CallEnd::kGone || end == CallEnd::kNotSent;
+}
+
+struct ChosenServer {
+  std::string id, address;
+};
+
+class ServerPool {
+ public:
+  explicit ServerPool(std::uint64_t seed) : random_(seed) {}
+
+  // The whole list, as the platform shows it.
+  void set_servers(const std::vector<ListedServer>& servers);
+  // This node's place among those that send to the servers.
+  void set_position(std::size_t index, std::size_t count);
+  void set_zone(std::string zone) { zone_ = std::move(zone); }
+
+  // A server for a call that has been at `tried`; nothing where none may be used. Batch items leave room for
+  // `reserve` calls of the server's slots.
+  std::optional<ChosenServer> pick(Millis now, const std::string& service,
+                                   const std::vector<std::string>& tried, bool is_item);
+  // Whether the server still serves the service and is not draining: asked right before a send.
+  bool is_usable(const std::string& service, const std::string& id) const;
+
+  void on_sent(Millis now, const std::string& id, bool is_item);
+  // The first byte of an answer has come `elapsed` after the send.
+  void on_first_byte(Millis now, const std::string& id, Millis elapsed);
+  void on_end(Millis now, const std::string& id, CallEnd end, bool is_item, bool had_first_byte);
+  // What the server tells of itself: calls running, waiting, and its slots.
+  void on_load(Millis now, const std::string& id, int running, int waiting, int slots);
+
+  // How long a call may be silent before it is worth asking another server.
+  Millis patience(const std::string& service) const;
+  // Batch items that this node has out at the service's servers.
+  int items_in_flight(const std::string& service) const;
+  std::size_t size_of(const std::string& service) const;
+
+ private:
+  struct Server {
+    ListedServer told;
+    int in_flight = 0, items = 0;
+    int silent = 0;        // calls out that no byte has come of
+    Millis last_byte = 0;  // of any answer, or when the first of the silent calls was sent
+    int failures = 0;      // in a row
+    Millis shunned_until = 0;
+    int running = 0, waiting = 0, slots = 0;
+    Millis load_at = 0;
+  };
+  struct ServiceView {
+    std::vector<std::string> ring;    // ids in the order that all nodes agree on
+    std::vector<std::size_t> subset;  // positions in the ring
+    double first_byte_ms = 0;         // smoothed
+    bool measured = false;
+  };
+  void rebuild(ServiceView& view);
+  bool may_use(Millis now, const Server& server, bool is_item) const;
+  bool looks_dead(Millis now, const Server& server) const;
+  double busyness(const Server& server) const;
+
+  quinceusher::Random random_;
+  std::unordered_map<std::string, Server> servers_;
+  std::map<std::string, ServiceView> services_;
+  std::size_t index_ = 0, count_ = 1;
+  std::string zone_;
+};
+
+// Admission of one client's calls at one service, by the three regimes over a learned limit.
+class ClientAdmission {
+ public:
+  enum class Decision { kSend, kSuppress, kDeny };
+  ClientAdmission();
+  Decision admit(Millis now, quinceusher::Random& random);
+  void on_end(Millis now, CallEnd end);
+  double limit() const { return limit_.limit; }
+
+ private:
+  quinceusher::ClientWindow window_;
+  quinceusher::LearnedLimit limit_;
+};
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/forwarding/upstream.cpp
@@ -0,0 +1,241 @@
+#include "forwarding/upstream.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <chrono>
+#include <limits>
+#include <optional>
+#include <utility>
+
+#include "messaging/network.h"
+
+namespace nettlestand::tier {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
+constexpr Millis kConnectTimeoutMs = 300;
+constexpr Millis kUnstatedIdleMs =
+    500;  // a server that states no Keep-Alive time may close sooner than in a second
+constexpr double kIdleShare = 0.75;  // of the stated time
+constexpr std::uint32_t kMaxHeadBytes = 64U << 10;
+constexpr std::size_t kReadBytes = 8U << 10;
+constexpr std::size_t kMaxIdlePerServer = 64;
+
+std::string_view view_of(beast::string_view text) { return {text.data(), text.size()}; }
+
+bool is_hop_header(http::field name) {
+  switch (name) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::transfer_encoding:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::upgrade:
+    case http::field::content_length:
+      return true;
+    default:
+      return false;
+  }
+}
+
+// "3,0,8" as three numbers; false where it is something else.
+bool parse_load(std::string_view text, ResponseHead& head) {
+  std::array<int, 3> values{};
+  for (std::size_t i = 0; i < values.size(); ++i) {
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), values[i]);
+    if (parsed.ec != std::errc()) return false;
+    text.remove_prefix(static_cast<std::size_t>(parsed.ptr - text.data()));
+    if (text.starts_with(',')) text.remove_prefix(1);
+  }
+  head.load_running = values[0];
+  head.load_waiting = values[1];
+  head.load_slots = values[2];
+  return true;
+}
+
+Millis idle_time(const http::fields& fields) {
+  const std::string_view text = view_of(fields[http::field::keep_alive]);
+  const std::size_t at = text.find("timeout=");
+  if (at == std::string_view::npos) return kUnstatedIdleMs;
+  int seconds = 0;
+  std::from_chars(text.data() + at + 8, text.data() + text.size(), seconds);
+  return std::max(kUnstatedIdleMs, static_cast<Millis>(kIdleShare * 1000 * seconds));
+}
+
+}  // namespace
+
+class UpstreamConnections::Connection : public UpstreamConnection {
+ public:
+  explicit Connection(asio::io_context& io) : stream_(io) {}
+
+  asio::awaitable<bool> connect(std::string address, Millis deadline) {
+    error_code error;
+    set_timeout(std::min(deadline, steady_now() + kConnectTimeoutMs));
+    co_await stream_.async_connect(parse_endpoint(address), asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return false;
+    stream_.socket().set_option(asio::ip::tcp::no_delay(true), error);
+    co_return true;
+  }
+
+  asio::awaitable<bool> send(std::string bytes, std::string request_id, bool head_only, Millis deadline,
+                             bool& sent) override {
+    request_id_ = std::move(request_id);
+    head_only_ = head_only;
+    whole_ = false;
+    error_code error;
+    set_timeout(deadline);
+    const std::size_t written = co_await asio::async_write(stream_, asio::buffer(bytes),
+                                                           asio::redirect_error(asio::use_awaitable, error));
+    sent = written > 0;
+    co_return !error;
+  }
+
+  asio::awaitable<Read> read_head(ResponseHead& head, Millis deadline) override {
+    for (;;) {
+      parser_.emplace();
+      parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+      parser_->header_limit(kMaxHeadBytes);
+      if (head_only_) parser_->skip(true);
+      error_code error;
+      set_timeout(deadline);
+      co_await http::async_read_header(stream_, buffer_, *parser_,
+                                       asio::redirect_error(asio::use_awaitable, error));
+      if (error) co_return ended(error);
+      const std::string_view id = view_of(parser_->get()["X-Request-Id"]);
+      if (id.empty() || id == request_id_) break;
+      const Read skipped = co_await skip_body(deadline);
+      if (skipped != Read::kEnd || !parser_->keep_alive()) co_return Read::kBroken;
+    }
+    read_fields(head);
+    co_return Read::kOk;
+  }
+
+  asio::awaitable<Read> read_some(std::string& bytes, Millis deadline) override {
+    bytes.clear();
+    while (bytes.empty()) {
+      if (parser_->is_done()) {
+        whole_ = true;
+        co_return Read::kEnd;
+      }
+      std::array<char, kReadBytes> chunk;
+      auto& body = parser_->get().body();
+      body.data = chunk.data();
+      body.size = chunk.size();
+      body.more = true;
+      error_code error;
+      set_timeout(deadline);
+      co_await http::async_read_some(stream_, buffer_, *parser_,
+                                     asio::redirect_error(asio::use_awaitable, error));
+      bytes.append(chunk.data(), chunk.size() - body.size);
+      if (error == http::error::need_buffer) error = {};
+      if (error && bytes.empty()) co_return ended(error);
+    }
+    co_return Read::kOk;
+  }
+
+  void cancel() override { stream_.close(); }
+
+  bool reusable() const override { return whole_ && parser_ && parser_->keep_alive() && buffer_.size() == 0; }
+
+  // Whether an idle connection still looks usable: neither closed nor holding bytes that nobody asked for.
+  bool looks_alive(Millis now) {
+    if (now >= idle_until_) return false;
+    char byte;
+    const ssize_t got = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+  void rest(Millis now) {
+    idle_until_ = now + idle_time(parser_->get());
+    stream_.expires_never();
+    parser_.reset();
+  }
+  Millis idle_until() const { return idle_until_; }
+
+ private:
+  void set_timeout(Millis deadline) {
+    stream_.expires_after(std::chrono::milliseconds(std::max<Millis>(deadline - steady_now(), 1)));
+  }
+  static Read ended(error_code error) {
+    return error == beast::error::timeout ? Read::kTimedOut : Read::kBroken;
+  }
+
+  asio::awaitable<Read> skip_body(Millis deadline) {
+    std::string ignored;
+    for (;;) {
+      const Read read = co_await read_some(ignored, deadline);
+      if (read != Read::kOk) co_return read;
+    }
+  }
+
+  void read_fields(ResponseHead& head) {
+    const auto& message = parser_->get();
+    head.status = static_cast<int>(message.result_int());
+    head.has_length = parser_->content_length().has_value();
+    head.length = parser_->content_length().value_or(0);
+    for (const auto& field : message) {
+      if (is_hop_header(field.name())) continue;
+      const std::string name(view_of(field.name_string())), value(view_of(field.value()));
+      if (beast::iequals(field.name_string(), "X-Server-Load")) {
+        parse_load(value, head);
+        continue;
+      }
+      if (beast::iequals(field.name_string(), "X-Not-Executed")) head.not_executed = true;
+      if (field.name() == http::field::content_type && value.starts_with("text/event-stream")) {
+        head.event_stream = true;
+      }
+      head.headers.emplace_back(name, value);
+    }
+  }
+
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::buffer_body>> parser_;
+  std::string request_id_;
+  bool head_only_ = false, whole_ = false;
+  Millis idle_until_ = 0;
+};
+
+UpstreamConnections::UpstreamConnections(asio::io_context& io) : io_(io) {}
+UpstreamConnections::~UpstreamConnections() = default;
+
+asio::awaitable<UpstreamPtr> UpstreamConnections::open(std::string address, Millis deadline) {
+  auto& idle = idle_[address];
+  while (!idle.empty()) {
+    std::shared_ptr<Connection> connection = std::move(idle.back());
+    idle.pop_back();
+    if (connection->looks_alive(steady_now())) co_return connection;
+  }
+  auto connection = std::make_shared<Connection>(io_);
+  if (!co_await connection->connect(address, deadline)) co_return nullptr;
+  co_return connection;
+}
+
+void UpstreamConnections::finish(const std::string& address, UpstreamPtr connection) {
+  auto own = std::static_pointer_cast<Connection>(std::move(connection));
+  auto& idle = idle_[address];
+  if (!own->reusable() || idle.size() >= kMaxIdlePerServer) return own->cancel();
+  own->rest(steady_now());
+  idle.push_back(std::move(own));
+}
+
+void UpstreamConnections::close_idle(Millis now) {
+  for (auto at = idle_.begin(); at != idle_.end();) {
+    std::erase_if(at->second, [now](const auto& connection) { return connection->idle_until() <= now; });
+    at = at->second.empty() ? idle_.erase(at) : std::next(at);
+  }
+}
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/forwarding/upstream.h
@@ -0,0 +1,65 @@
+// Connections to servers over HTTP/1.1: kept between calls, one call at a time on each.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <deque>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "base/time.h"
+
+namespace nettlestand::tier {
+
+struct ResponseHead {
+  int status = 0;
+  std::vector<std::pair<std::string, std::string>> headers;  // without those that concern one connection
+  bool event_stream = false;
+  bool has_length = false;
+  std::uint64_t length = 0;
+  bool not_executed = false;                                // the server says that it has not run the request
+  int load_running = -1, load_waiting = 0, load_slots = 0;  // running below 0: not told
+};
+
+// One connection to a server, and the call that is under way on it.
+class UpstreamConnection {
+ public:
+  enum class Read { kOk, kEnd, kBroken, kTimedOut };
+
+  virtual ~UpstreamConnection() = default;
+  // Sends a request; false where that failed. `sent`: any of it may have reached the server.
+  virtual boost::asio::awaitable<bool> send(std::string bytes, std::string request_id, bool head_only,
+                                            Millis deadline, bool& sent) = 0;
+  // The head of the answer. Answers to earlier requests, told by their id, are passed over.
+  virtual boost::asio::awaitable<Read> read_head(ResponseHead& head, Millis deadline) = 0;
+  // More of the body; kEnd once it was whole.
+  virtual boost::asio::awaitable<Read> read_some(std::string& bytes, Millis deadline) = 0;
+  // Breaks the connection, and with it whatever waits on it.
+  virtual void cancel() = 0;
+  // Whether the answer was whole and the connection may carry another call.
+  virtual bool reusable() const = 0;
+};
+
+using UpstreamPtr = std::shared_ptr<UpstreamConnection>;
+
+class UpstreamConnections {
+ public:
+  explicit UpstreamConnections(boost::asio::io_context& io);
+  ~UpstreamConnections();
+  // A kept connection that looks alive, or a new one; null where none came about in time.
+  boost::asio::awaitable<UpstreamPtr> open(std::string address, Millis deadline);
+  // Keeps a connection whose call is over for the next one, or closes it.
+  void finish(const std::string& address, UpstreamPtr connection);
+  void close_idle(Millis now);
+
+ private:
+  class Connection;
+  boost::asio::io_context& io_;
+  std::unordered_map<std::string, std::deque<std::shared_ptr<Connection>>> idle_;
+};
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/membership/partial_view.cpp
@@ -0,0 +1,115 @@
+#include "membership/partial_view.h"
+
+#include <algorithm>
+
+namespace nettlestand::tier {
+namespace {
+
+constexpr std::size_t kSeedRounds =
+    8;  // each so many rounds a seed is asked, so that parted views meet again
+
+}  // namespace
+
+PartialView::PartialView(NodeInfo self, std::vector<std::string> seed_addresses, std::uint64_t seed)
+    : self_(std::move(self)), seeds_(std::move(seed_addresses)), random_(seed) {
+  std::erase(seeds_, self_.address);
+}
+
+void PartialView::set_seeds(std::vector<std::string> seed_addresses) {
+  seeds_ = std::move(seed_addresses);
+  std::erase(seeds_, self_.address);
+}
+
+std::optional<std::pair<std::string, Shuffle>> PartialView::start_shuffle(Millis now) {
+  ++self_.beat;
+  forget(now);
+  ++rounds_;
+  std::string to;
+  const bool ask_seed = !seeds_.empty() && (view_.size() < seeds_.size() || rounds_ % kSeedRounds == 0);
+  if (ask_seed) {
+    to = seeds_[random_() % seeds_.size()];
+  } else if (!view_.empty()) {
+    auto at = view_.begin();
+    std::advance(at, static_cast<std::ptrdiff_t>(random_() % view_.size()));
+    to = at->second.node.address;
+  } else {
+    return std::nullopt;
+  }
+  return std::make_pair(to, sample(to));
+}
+
+Shuffle PartialView::sample(const std::string& except) {
+  std::vector<const NodeInfo*> candidates;
+  for (const auto& [name, entry] : view_) {
+    if (entry.node.address != except) candidates.push_back(&entry.node);
+  }
+  std::shuffle(candidates.begin(), candidates.end(), random_);
+  Shuffle out;
+  out.nodes.push_back(self_);
+  for (const NodeInfo* node : candidates) {
+    if (out.nodes.size() >= kShuffleSize) break;
+    out.nodes.push_back(*node);
+  }
+  return out;
+}
+
+Shuffle PartialView::on_shuffle(Millis now, const Shuffle& shuffle, const std::string& from) {
+  Shuffle reply = sample(from);
+  on_reply(now, shuffle);
+  return reply;
+}
+
+void PartialView::on_reply(Millis now, const Shuffle& reply) {
+  for (const NodeInfo& node : reply.nodes) merge(now, node);
+  evict();
+}
+
+void PartialView::merge(Millis now, const NodeInfo& node) {
+  if (node.name == self_.name || node.name.empty() || node.address.empty()) return;
+  const auto [at, added] = view_.try_emplace(node.name, Entry{node, now});
+  if (added) {
+    ++changes_;
+    return;
+  }
+  NodeInfo& known = at->second.node;
+  const bool newer = node.incarnation > known.incarnation ||
+                     (node.incarnation == known.incarnation && node.beat > known.beat);
+  if (!newer) return;
+  if (node.incarnation != known.incarnation) ++changes_;
+  known = node;
+  at->second.refreshed = now;
+}
+
+void PartialView::forget(Millis now) {
+  const std::size_t gone =
+      std::erase_if(view_, [now](const auto& item) { return item.second.refreshed + kForgetMs < now; });
+  changes_ += gone;
+}
+
+void PartialView::evict() {
+  while (view_.size() > kCapacity) {
+    std::vector<std::string> candidates;
+    for (const auto& [name, entry] : view_) {
+      if (!entry.node.is_core) candidates.push_back(name);
+    }
+    if (candidates.empty()) return;
+    view_.erase(candidates[random_() % candidates.size()]);
+  }
+}
+
+std::vector<NodeInfo> PartialView::nodes() const {
+  std::vector<NodeInfo> out;
+  for (const auto& [name, entry] : view_) out.push_back(entry.node);
+  return out;
+}
+
+std::vector<NodeInfo> PartialView::core() const {
+  std::vector<NodeInfo> out;
+  for (const auto& [name, entry] : view_) {
+    if (entry.node.is_core) out.push_back(entry.node);
+  }
+  if (self_.is_core) out.push_back(self_);
+  return out;
+}
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/membership/partial_view.h
@@ -0,0 +1,61 @@
+// Membership by peer sampling: a partial view of the other nodes, kept by shuffles (Cyclon: Voulgaris,
+// Gavidia and van Steen, 2005). Decides only; the host sends what it returns.
+//
+// Differs from the paper in that core nodes, once known, are not shuffled out of the view (all nodes have to
+// reach them), and in that an entry carries its node's beat instead of an age: the higher beat of one
+// incarnation wins, and an entry whose beat stands still for `kForgetMs` is dropped.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "messaging/messages.h"
+
+namespace nettlestand::tier {
+
+class PartialView {
+ public:
+  static constexpr std::size_t kCapacity = 40;
+  static constexpr std::size_t kShuffleSize = 12;
+  static constexpr Millis kForgetMs = 12000;
+
+  PartialView(NodeInfo self, std::vector<std::string> seed_addresses, std::uint64_t seed);
+
+  // The next shuffle: to whom, and what.
+  std::optional<std::pair<std::string, Shuffle>> start_shuffle(Millis now);
+  // What another node has sent; the answer where it began the shuffle.
+  Shuffle on_shuffle(Millis now, const Shuffle& shuffle, const std::string& from);
+  void on_reply(Millis now, const Shuffle& reply);
+
+  // All that is known of others, without the node itself.
+  std::vector<NodeInfo> nodes() const;
+  std::vector<NodeInfo> core() const;
+  const NodeInfo& self() const { return self_; }
+  void set_seeds(std::vector<std::string> seed_addresses);
+  // Rises with each node that comes or goes.
+  std::uint64_t changes() const { return changes_; }
+
+ private:
+  struct Entry {
+    NodeInfo node;
+    Millis refreshed = 0;
+  };
+  void merge(Millis now, const NodeInfo& node);
+  void forget(Millis now);
+  void evict();
+  Shuffle sample(const std::string& except);
+
+  NodeInfo self_;
+  std::vector<std::string> seeds_;
+  std::mt19937_64 random_;
+  std::map<std::string, Entry> view_;  // by name
+  std::uint64_t changes_ = 0;
+  std::size_t rounds_ = 0;
+};
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/messaging/messages.h
@@ -0,0 +1,185 @@
+// What nodes say to each other. A message is one byte for its type, then its struct.
+#pragma once
+
+#include <boost/hana.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/codec.h"
+#include "base/time.h"
+#include "consensus/messages.h"
+#include "control/state.h"
+
+namespace nettlestand::tier {
+
+enum class MessageType : std::uint8_t {
+  kShuffle = 1,
+  kShuffleReply,
+  kConsensus,
+  kFormationRequest,
+  kFormationVote,
+  kPoll,
+  kPollReply,
+  kOperatorCall,
+  kOperatorReply,
+  kJobCall,
+  kJobReply,
+  kReplicate,
+  kReplicateReply
+};
+
+template <class T>
+std::string encode_message(MessageType type, const T& body) {
+  std::string out(1, static_cast<char>(type));
+  out += encode(body);
+  return out;
+}
+
+// A process as others know it.
+struct NodeInfo {
+  BOOST_HANA_DEFINE_STRUCT(NodeInfo, (std::string, name), (std::string, address), (std::string, zone),
+                           (bool, is_store), (bool, is_core), (std::uint64_t, disk_id),
+                           (std::uint64_t, incarnation),  // rises with each start of the process
+                           (std::uint64_t, beat));        // rises while it lives
+};
+
+struct Shuffle {
+  BOOST_HANA_DEFINE_STRUCT(Shuffle, (std::vector<NodeInfo>, nodes));
+};
+
+// Between replicas of one group.
+struct GroupMessage {
+  BOOST_HANA_DEFINE_STRUCT(GroupMessage, (std::uint32_t, group), (consensus::Message, message));
+};
+
+// A core machine asks the seeds whether it may form the groups, which only one ever may.
+struct FormationRequest {
+  BOOST_HANA_DEFINE_STRUCT(FormationRequest, (std::vector<consensus::Member>, members),
+                           (std::uint64_t, proposer));
+};
+struct FormationVote {
+  BOOST_HANA_DEFINE_STRUCT(FormationVote, (std::uint64_t, proposer), (bool, granted));
+};
+
+struct TokenRequest {
+  BOOST_HANA_DEFINE_STRUCT(TokenRequest, (std::string, tenant), (std::uint32_t, wanted),
+                           (std::uint32_t, returned));
+};
+struct TokenGrant {
+  BOOST_HANA_DEFINE_STRUCT(TokenGrant, (std::string, tenant), (std::uint32_t, granted),
+                           (bool, exhausted));  // the tenant is at its limit
+};
+
+// A primary tells that a joining store holds all of a shard.
+struct InSync {
+  BOOST_HANA_DEFINE_STRUCT(InSync, (std::uint32_t, shard), (std::uint64_t, epoch), (StoreId, store));
+};
+
+// A node asks a group's leader for what is new, and with it registers, renews its lease and asks for quota.
+struct Poll {
+  BOOST_HANA_DEFINE_STRUCT(Poll, (std::uint32_t, group), (NodeInfo, node), (Millis, sent_at),
+                           (std::uint64_t, config_sequence), (std::uint64_t, placement_sequence),
+                           (std::uint64_t, list_term), (std::uint64_t, list_sequence),
+                           (std::vector<TokenRequest>, tokens), (std::vector<InSync>, in_sync),
+                           (bool, leaving));
+};
+
+// A model server as the platform's list shows it.
+struct ListedServer {
+  BOOST_HANA_DEFINE_STRUCT(ListedServer, (std::string, id), (std::string, service), (std::string, address),
+                           (std::string, zone), (std::uint32_t, slots), (bool, draining),
+                           (double, cold_left_ms));
+};
+
+struct ServerList {
+  BOOST_HANA_DEFINE_STRUCT(ServerList, (std::uint64_t, term), (std::uint64_t, sequence),
+                           (std::vector<ListedServer>, servers));
+};
+
+struct SequencedOrder {
+  BOOST_HANA_DEFINE_STRUCT(SequencedOrder, (std::uint64_t, sequence), (ConfigOrder, order));
+};
+
+// The answer, also sent unasked when something changes. The lists hold one element or none unless they say
+// more.
+struct PollReply {
+  BOOST_HANA_DEFINE_STRUCT(PollReply, (std::uint32_t, group), (bool, from_leader), (std::string, leader),
+                           (Millis, sent_at),  // of the poll that is answered; 0: unasked
+                           (std::vector<ControlSnapshot>, snapshot), (std::vector<SequencedOrder>, orders),
+                           (std::vector<PlacementTable>, placement), (std::vector<ServerList>, servers),
+                           (std::uint32_t, index), (std::uint32_t, count),  // among live nodes of the class
+                           (std::uint32_t, edges), (std::vector<TokenGrant>, grants));
+};
+
+// A call of the operator, passed on to the leader of the configuration's group.
+struct OperatorCall {
+  BOOST_HANA_DEFINE_STRUCT(OperatorCall, (std::uint64_t, call), (std::string, method), (std::string, path),
+                           (std::uint64_t, base), (std::string, body));
+};
+struct OperatorReply {
+  BOOST_HANA_DEFINE_STRUCT(OperatorReply, (std::uint64_t, call), (std::uint32_t, status), (std::string, body),
+                           (bool, not_leader), (std::string, leader));
+};
+
+// ---------------------------------------------------------------- batch jobs
+
+struct JobItem {
+  BOOST_HANA_DEFINE_STRUCT(JobItem, (std::string, id), (std::string, path),
+                           (std::vector<std::string>, header_names),
+                           (std::vector<std::string>, header_values), (std::string, body),
+                           (std::int64_t, tokens));
+};
+
+struct JobSpec {
+  BOOST_HANA_DEFINE_STRUCT(JobSpec, (std::string, id), (std::string, tenant), (std::string, route),
+                           (std::string, host), (std::vector<JobItem>, items));
+};
+
+enum class ResultState : std::uint8_t { kCompleted, kDeadLetter };
+
+struct JobResult {
+  BOOST_HANA_DEFINE_STRUCT(JobResult, (std::uint32_t, item), (ResultState, state), (std::string, text));
+};
+
+enum class JobCallKind : std::uint8_t { kSubmit, kRead, kBody, kEnd };
+
+struct JobCall {
+  BOOST_HANA_DEFINE_STRUCT(JobCall, (std::uint64_t, call), (JobCallKind, kind), (std::string, tenant),
+                           (std::string, job), (std::vector<JobSpec>, spec), (std::uint64_t, start_after),
+                           (std::string, item), (Millis, wait_ms));
+};
+
+// Status as in HTTP; 0: this store is not the shard's primary, or can't be sure of it.
+struct JobReply {
+  BOOST_HANA_DEFINE_STRUCT(JobReply, (std::uint64_t, call), (std::uint32_t, status), (std::string, body));
+};
+
+// A change of one job, in the form that is kept on disk and sent to the other copies.
+struct JobChange {
+  BOOST_HANA_DEFINE_STRUCT(JobChange, (std::string, tenant), (std::string, job),
+                           (std::vector<JobSpec>, spec),     // a new job, or the copy of one
+                           (bool, reset),                    // forget the results that are held
+                           (std::uint32_t, first_position),  // of `results`
+                           (std::vector<JobResult>, results), (bool, ended), (bool, removed));
+};
+
+// What a copy holds of a job.
+struct JobDigest {
+  BOOST_HANA_DEFINE_STRUCT(JobDigest, (std::string, tenant), (std::string, job), (std::uint32_t, results),
+                           (std::uint64_t, chain), (bool, ended));
+};
+
+// From a shard's primary. A copy answers once all changes are durable; `digest_wanted` asks what it holds.
+struct Replicate {
+  BOOST_HANA_DEFINE_STRUCT(Replicate, (std::uint32_t, shard), (std::uint64_t, epoch), (std::uint64_t, batch),
+                           (StoreId, to), (std::vector<JobChange>, changes), (bool, digest_wanted));
+};
+struct ReplicateReply {
+  BOOST_HANA_DEFINE_STRUCT(ReplicateReply, (std::uint32_t, shard), (std::uint64_t, epoch),
+                           (std::uint64_t, batch), (StoreId, from), (bool, accepted), (bool, has_digest),
+                           (std::vector<JobDigest>, digest));
+};
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/messaging/network.h
@@ -0,0 +1,45 @@
+// Messages between nodes over TCP, framed as ZMTP 3.1.
+//
+// Delivery is best effort and in order while a connection lasts. Whoever sends repeats what matters: a
+// message may be lost when a connection breaks, and is dropped while a peer's queue is full or can't be
+// reached.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace nettlestand::tier {
+
+class Network {
+ public:
+  // `from` is the address "ip:port" at which the sender itself listens.
+  using Handler = std::function<void(const std::string& from, std::string_view message)>;
+
+  Network(boost::asio::io_context& io, const std::string& own_address, Handler handler);
+  ~Network();
+  // Throws boost::system::system_error where the address can't be bound.
+  void listen();
+  void send(const std::string& address, std::string_view message);
+  const std::string& own_address() const { return own_address_; }
+
+ private:
+  class Outgoing;
+  class Incoming;
+  void accept();
+
+  boost::asio::io_context& io_;
+  std::string own_address_;
+  Handler handler_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::unordered_map<std::string, std::shared_ptr<Outgoing>> outgoing_;
+};
+
+// "10.1.0.7:7660" as an endpoint; throws std::invalid_argument where it isn't one.
+boost::asio::ip::tcp::endpoint parse_endpoint(const std::string& address);
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/node/batch_front.cpp
@@ -0,0 +1,198 @@
+#include "node/batch_front.h"
+
+#include <absl/strings/escaping.h>
+#include <rapidjson/document.h>
+
+#include <charconv>
+#include <set>
+#include <utility>
+
+#include "control/placement.h"
+
+namespace nettlestand::tier {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t kMaxItems = 200;
+constexpr Millis kSubmitPatienceMs = 2600;
+constexpr Millis kReadPatienceMs = 1200;  // beyond the wait that the client allows
+constexpr Millis kReplyWaitMs = 700;      // beyond the store's own wait, before the call is sent again
+constexpr Millis kSubmitReplyWaitMs = 900;
+constexpr Millis kRetryMs = 40;
+constexpr Millis kMostWaitMs = 10000;
+constexpr std::uint32_t kNotPrimary = 0;  // status of a store that can't answer and has kept nothing
+constexpr std::uint32_t kMoved = 1;       // that may have kept it: another store knows
+const HeaderList kJson = {{"Content-Type", "application/json"}};
+
+absl::Status invalid(const char* what) { return absl::InvalidArgumentError(what); }
+
+std::uint64_t number_of(std::string_view text) {
+  std::uint64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+bool is_header_text(std::string_view text) { return text.find_first_of("\r\n") == std::string_view::npos; }
+
+absl::StatusOr<JobItem> parse_item(const rapidjson::Value& json) {
+  JobItem item{};
+  if (!json.IsObject()) return invalid("an item is not an object");
+  const auto text = [&json](const char* name, std::string& out) {
+    const auto found = json.FindMember(name);
+    if (found == json.MemberEnd() || !found->value.IsString()) return false;
+    out.assign(found->value.GetString(), found->value.GetStringLength());
+    return true;
+  };
+  std::string encoded;
+  if (!text("id", item.id) || item.id.empty() || !is_header_text(item.id))
+    return invalid("an item has no id");
+  if (!text("path", item.path) || !item.path.starts_with('/') || !is_header_text(item.path) ||
+      item.path.find(' ') != std::string::npos) {
+    return invalid("an item has no path");
+  }
+  text("body", encoded);
+  if (!absl::Base64Unescape(encoded, &item.body)) return invalid("a body is not base64");
+  if (const auto tokens = json.FindMember("tokens"); tokens != json.MemberEnd()) {
+    if (!tokens->value.IsNumber() || tokens->value.GetDouble() < 0) return invalid("tokens is not a number");
+    item.tokens = static_cast<std::int64_t>(tokens->value.GetDouble());
+  }
+  if (const auto headers = json.FindMember("headers"); headers != json.MemberEnd()) {
+    if (!headers->value.IsObject()) return invalid("headers is not an object");
+    for (const auto& header : headers->value.GetObject()) {
+      if (!header.value.IsString()) return invalid("a header is not a text");
+      const std::string name(header.name.GetString(), header.name.GetStringLength());
+      const std::string value(header.value.GetString(), header.value.GetStringLength());
+      if (!is_header_text(name) || !is_header_text(value) || name.find(':') != std::string::npos) {
+        return invalid("a header can't be sent");
+      }
+      item.header_names.push_back(name);
+      item.header_values.push_back(value);
+    }
+  }
+  return item;
+}
+
+}  // namespace
+
+absl::StatusOr<JobSpec> parse_job(std::string_view json) {
+  rapidjson::Document document;
+  document.Parse<rapidjson::kParseIterativeFlag>(json.data(), json.size());
+  if (document.HasParseError() || !document.IsObject()) return invalid("no whole JSON");
+  const auto requests = document.FindMember("requests");
+  if (requests == document.MemberEnd() || !requests->value.IsArray())
+    return invalid("requests is not a list");
+  if (requests->value.Empty() || requests->value.Size() > kMaxItems)
+    return invalid("too few or too many items");
+  JobSpec spec{};
+  std::set<std::string> ids;
+  for (const auto& request : requests->value.GetArray()) {
+    auto item = parse_item(request);
+    if (!item.ok()) return item.status();
+    if (!ids.insert(item->id).second) return invalid("two items share an id");
+    spec.items.push_back(*std::move(item));
+  }
+  return spec;
+}
+
+bool BatchFront::is_job_path(std::string_view path) {
+  return path.starts_with("/nettlestand/lots/") || path.starts_with("/nettlestand/items/");
+}
+
+std::string BatchFront::primary_address(const std::string& tenant) const {
+  const PlacementTable& table = follower_.state().placement();
+  const std::uint32_t shard = batch_shard_of(tenant);
+  for (const ShardPlacement& row : table.shards) {
+    if (row.shard != shard || row.members.empty()) continue;
+    const StoreRecord* store = table.store(row.members.front());
+    return store == nullptr ? std::string() : store->address;
+  }
+  return {};
+}
+
+asio::awaitable<BatchFront::Outcome> BatchFront::ask_primary(JobCall call, Millis until) {
+  Outcome out;
+  const bool submits = call.kind == JobCallKind::kSubmit || call.kind == JobCallKind::kEnd;
+  while (steady_now() < until) {
+    const std::string address = primary_address(call.tenant);
+    if (address.empty()) {
+      co_await sleep_for(io_, kRetryMs);
+      continue;
+    }
+    call.call = calls_.next_number();
+    network_.send(address, encode_message(MessageType::kJobCall, call));
+    const Millis patience = submits ? kSubmitReplyWaitMs : call.wait_ms + kReplyWaitMs;
+    auto reply =
+        co_await calls_.wait(call.call, std::min(patience, std::max<Millis>(until - steady_now(), 1)));
+    if (!reply || reply->status == kMoved) {
+      out.may_be_kept = true;
+    } else if (reply->status != kNotPrimary) {
+      out.status = reply->status;
+      out.body = std::move(reply->body);
+      co_return out;
+    }
+    if (reply) co_await sleep_for(io_, kRetryMs);
+    call.wait_ms = std::min(call.wait_ms, std::max<Millis>(until - steady_now() - kReplyWaitMs, 0));
+  }
+  co_return out;
+}
+
+asio::awaitable<void> BatchFront::submit(std::shared_ptr<HttpExchange> exchange, const Route& route,
+                                         std::string tenant) {
+  auto spec = parse_job(exchange->request.body);
+  if (!spec.ok()) {
+    std::string error = "{\"error\":\"" + std::string(spec.status().message()) + "\"}";
+    co_return co_await exchange->respond(400, kJson, std::move(error));
+  }
+  spec->id = std::string(exchange->request.header("X-Request-Id"));
+  spec->tenant = tenant;
+  spec->route = route.name;
+  spec->host = exchange->request.host();
+  JobCall call{};
+  call.kind = JobCallKind::kSubmit;
+  call.tenant = std::move(tenant);
+  call.job = spec->id;
+  call.spec.push_back(*std::move(spec));
+  const Outcome outcome = co_await ask_primary(std::move(call), steady_now() + kSubmitPatienceMs);
+  HeaderList headers = kJson;
+  int status = static_cast<int>(outcome.status);
+  // A refusal promises that nothing of it runs: not where a store may have kept it.
+  if (status == 0 || (status == 503 && outcome.may_be_kept)) status = outcome.may_be_kept ? 504 : 503;
+  if (status == 429 || status == 503) headers.emplace_back("Retry-After", "0.5");
+  // Made ahead: GCC 12 destroys a conditional's temporary twice inside an awaited expression.
+  std::string body = outcome.body;
+  if (body.empty()) body = "{}";
+  co_await exchange->respond(status, std::move(headers), std::move(body));
+}
+
+asio::awaitable<void> BatchFront::call(std::shared_ptr<HttpExchange> exchange, std::string tenant) {
+  const HttpRequest& request = exchange->request;
+  const std::string_view path = request.path();
+  JobCall call{};
+  call.tenant = std::move(tenant);
+  call.job = std::string(path.substr(path.rfind('/') + 1));
+  const bool items = path.starts_with("/nettlestand/items/");
+  if (request.method == "DELETE" && !items) {
+    call.kind = JobCallKind::kEnd;
+  } else if (request.method == "GET") {
+    call.kind = items ? JobCallKind::kBody : JobCallKind::kRead;
+    call.item = request.query("id");
+    call.start_after = number_of(request.query("start_after"));
+    if (!items)
+      call.wait_ms = std::min(static_cast<Millis>(number_of(request.header("X-Wait-Ms"))), kMostWaitMs);
+  } else {
+    co_return co_await exchange->respond(405, kJson, "{}");
+  }
+  const Millis patience = call.kind == JobCallKind::kEnd ? kSubmitPatienceMs : call.wait_ms + kReadPatienceMs;
+  const Outcome outcome = co_await ask_primary(std::move(call), steady_now() + patience);
+  if (outcome.status != 0) {
+    HeaderList headers = kJson;
+    if (items) headers.front().second = "application/octet-stream";
+    co_return co_await exchange->respond(static_cast<int>(outcome.status), headers, outcome.body);
+  }
+  HeaderList headers = kJson;
+  headers.emplace_back("Retry-After", "0.3");
+  co_await exchange->respond(503, headers, "{}");
+}
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/node/batch_front.h
@@ -0,0 +1,50 @@
+// Calls on batch jobs at an edge node: checked, turned into messages, and passed to the primary of the
+// tenant's shard.
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+
+#include "control/follower.h"
+#include "messaging/network.h"
+#include "node/http_server.h"
+#include "node/pending_calls.h"
+
+namespace nettlestand::tier {
+
+// The items of a submission's body; an InvalidArgumentError says what is wrong.
+absl::StatusOr<JobSpec> parse_job(std::string_view json);
+
+class BatchFront {
+ public:
+  BatchFront(boost::asio::io_context& io, Network& network, ControlFollower& follower)
+      : io_(io), network_(network), follower_(follower), calls_(io) {}
+
+  boost::asio::awaitable<void> submit(std::shared_ptr<HttpExchange> exchange, const Route& route,
+                                      std::string tenant);
+  // GET and DELETE of /nettlestand/lots/ID, GET of /nettlestand/items/ID.
+  boost::asio::awaitable<void> call(std::shared_ptr<HttpExchange> exchange, std::string tenant);
+  void on_reply(JobReply reply) { calls_.deliver(std::move(reply)); }
+
+  static bool is_job_path(std::string_view path);
+
+ private:
+  struct Outcome {
+    std::uint32_t status = 0;  // 0: no store could answer
+    std::string body;
+    bool may_be_kept = false;  // a store was asked and its answer is not known
+  };
+  boost::asio::awaitable<Outcome> ask_primary(JobCall call, Millis until);
+  std::string primary_address(const std::string& tenant) const;
+
+  boost::asio::io_context& io_;
+  Network& network_;
+  ControlFollower& follower_;
+  PendingCalls<JobReply> calls_;
+};
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/node/http_server.cpp
@@ -0,0 +1,312 @@
+#include "node/http_server.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include "messaging/network.h"
+#include "node/log.h"
+
+namespace nettlestand::tier {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr Millis kWriteTimeoutMs = 8000;  // for a caller to take what was written
+constexpr auto kAcceptPause = std::chrono::milliseconds(20);
+constexpr auto kLinger = std::chrono::milliseconds(500);
+
+std::string_view view_of(beast::string_view text) { return {text.data(), text.size()}; }
+
+bool equal_names(std::string_view a, std::string_view b) {
+  return beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
+}
+
+bool is_hop_header(http::field name) {
+  switch (name) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::transfer_encoding:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::upgrade:
+    case http::field::content_length:
+    case http::field::expect:
+      return true;
+    default:
+      return false;
+  }
+}
+
+int status_of(error_code error) {
+  if (error == http::error::header_limit) return 431;
+  if (error == http::error::body_limit) return 413;
+  if (error == beast::error::timeout) return 408;
+  return 400;
+}
+
+void append_hex(std::string& out, std::size_t value) {
+  char digits[2 * sizeof(value)];
+  std::size_t count = 0;
+  do {
+    digits[count++] = "0123456789abcdef"[value % 16];
+    value /= 16;
+  } while (value != 0);
+  while (count > 0) out.push_back(digits[--count]);
+}
+
+}  // namespace
+
+std::string_view HttpRequest::header(std::string_view name) const {
+  for (const auto& [key, value] : headers) {
+    if (equal_names(key, name)) return value;
+  }
+  return {};
+}
+
+std::string HttpRequest::query(std::string_view name) const {
+  const std::size_t mark = target.find('?');
+  std::string_view rest =
+      mark == std::string::npos ? std::string_view() : std::string_view(target).substr(mark + 1);
+  while (!rest.empty()) {
+    const std::string_view pair = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(pair.size() + 1, rest.size()));
+    const std::size_t equals = pair.find('=');
+    if (equals != std::string_view::npos && pair.substr(0, equals) == name)
+      return std::string(pair.substr(equals + 1));
+  }
+  return {};
+}
+
+std::string HttpRequest::host() const {
+  const std::string_view value = header("Host");
+  return std::string(value.substr(0, value.find(':')));
+}
+
+class HttpServer::Session : public HttpExchange, public std::enable_shared_from_this<Session> {
+ public:
+  Session(HttpServer& server, tcp::socket socket) : server_(server), stream_(std::move(socket)) {}
+
+  asio::awaitable<void> run() {
+    const auto self = shared_from_this();
+    error_code ignored;
+    stream_.socket().set_option(tcp::no_delay(true), ignored);
+    while (open_) {
+      if (!co_await read_request()) break;
+      ++server_.active_;
+      answered_ = false;
+      watch();
+      co_await server_.handler_(shared_from_this());
+      watching_ = 0;
+      on_gone = nullptr;
+      stream_.socket().cancel(ignored);
+      --server_.active_;
+      if (!answered_) break;
+    }
+    co_await close();
+  }
+
+  asio::awaitable<void> respond(int status, HeaderList headers, std::string body) override {
+    std::string out = head_text(status, headers);
+    out += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    if (request.method != "HEAD") out += body;
+    co_await write_all(std::move(out));
+    answered_ = true;
+  }
+
+  asio::awaitable<bool> start(int status, const HeaderList& headers, bool has_length,
+                              std::uint64_t length) override {
+    chunked_ = !has_length;
+    std::string out = head_text(status, headers);
+    out += has_length ? "Content-Length: " + std::to_string(length) + "\r\n\r\n"
+                      : "Transfer-Encoding: chunked\r\n\r\n";
+    co_return co_await write_all(std::move(out));
+  }
+
+  asio::awaitable<bool> write(std::string_view bytes) override {
+    if (bytes.empty() || request.method == "HEAD") co_return open_;
+    std::string out;
+    out.reserve(bytes.size() + 16);
+    if (chunked_) {
+      append_hex(out, bytes.size());
+      out += "\r\n";
+    }
+    out += bytes;
+    if (chunked_) out += "\r\n";
+    co_return co_await write_all(std::move(out));
+  }
+
+  asio::awaitable<void> finish() override {
+    if (chunked_) co_await write_all("0\r\n\r\n");
+    answered_ = true;
+  }
+
+  void abort() override {
+    open_ = false;
+    broken_ = true;
+    stream_.close();
+  }
+
+ private:
+  void expire_after(Millis time) { stream_.expires_after(std::chrono::milliseconds(time)); }
+
+  asio::awaitable<bool> read_request() {
+    const HttpLimits limits = server_.limits_();
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
+    parser.body_limit(limits.max_body_bytes);
+    parser.eager(true);
+    error_code error;
+    bool begun = buffer_.size() > 0;
+    if (!begun) {
+      expire_after(limits.idle_timeout);
+      co_await http::async_read_some(stream_, buffer_, parser,
+                                     asio::redirect_error(asio::use_awaitable, error));
+      begun = !error;
+    }
+    if (!error && !parser.is_done()) {
+      expire_after(limits.header_timeout);
+      co_await http::async_read(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (error) {
+      const bool quiet = !begun && (error == beast::error::timeout || error == http::error::end_of_stream);
+      if (!quiet && error.category() == http::make_error_code(http::error::bad_method).category()) {
+        co_await refuse(status_of(error));
+      } else if (begun && error == beast::error::timeout) {
+        co_await refuse(status_of(error));
+      }
+      co_return false;
+    }
+    take(parser.release());
+    co_return true;
+  }
+
+  void take(http::request<http::string_body> message) {
+    keep_alive_ = message.keep_alive();
+    request = HttpRequest();
+    request.method = std::string(view_of(message.method_string()));
+    request.target = std::string(view_of(message.target()));
+    request.received_at = steady_now();
+    for (const auto& field : message) {
+      if (is_hop_header(field.name())) continue;
+      request.headers.emplace_back(std::string(view_of(field.name_string())),
+                                   std::string(view_of(field.value())));
+    }
+    request.body = std::move(message.body());
+  }
+
+  asio::awaitable<void> refuse(int status) {
+    if (broken_) co_return;
+    keep_alive_ = false;
+    co_await respond(status, {}, "");
+  }
+
+  std::string head_text(int status, const HeaderList& headers) {
+    const auto reason = http::obsolete_reason(static_cast<http::status>(status));
+    std::string out = "HTTP/1.1 " + std::to_string(status) + " " + std::string(view_of(reason)) + "\r\n";
+    for (const auto& [name, value] : headers) out.append(name).append(": ").append(value).append("\r\n");
+    if (!keep_alive_ || server_.draining_) {
+      out += "Connection: close\r\n";
+      open_ = false;
+    }
+    return out;
+  }
+
+  asio::awaitable<bool> write_all(std::string bytes) {
+    if (broken_) co_return false;
+    error_code error;
+    expire_after(kWriteTimeoutMs);
+    co_await asio::async_write(stream_, asio::buffer(bytes),
+                               asio::redirect_error(asio::use_awaitable, error));
+    if (error) abort();
+    co_return !error;
+  }
+
+  // While a request is being answered, a close by the caller is noticed.
+  void watch() {
+    const unsigned mine = watching_ = ++watches_;
+    stream_.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), mine](error_code error) {
+      if (error || self->watching_ != mine || self->broken_) return;
+      char byte;
+      const ssize_t got = ::recv(self->stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+      const bool ended = got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+      if (!ended) return;  // the next request waits its turn
+      self->abort();
+      if (self->on_gone) self->on_gone();
+    });
+  }
+
+  // In order: what was written arrives, and what still comes is thrown away for a while.
+  asio::awaitable<void> close() {
+    if (broken_) co_return;
+    error_code error;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, error);
+    stream_.expires_after(kLinger);
+    char sink[512];
+    while (!error) {
+      co_await stream_.async_read_some(asio::buffer(sink), asio::redirect_error(asio::use_awaitable, error));
+    }
+    stream_.close();
+  }
+
+  HttpServer& server_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  bool open_ = true, broken_ = false, keep_alive_ = true, chunked_ = false, answered_ = false;
+  unsigned watching_ = 0, watches_ = 0;
+};
+
+HttpServer::HttpServer(asio::io_context& io, std::string address, std::function<HttpLimits()> limits,
+                       Handler handler)
+    : io_(io),
+      address_(std::move(address)),
+      limits_(std::move(limits)),
+      handler_(std::move(handler)),
+      acceptor_(io) {}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::listen() {
+  const tcp::endpoint endpoint = parse_endpoint(address_);
+  acceptor_.open(endpoint.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(endpoint);
+  acceptor_.listen(1024);
+  asio::co_spawn(
+      io_, [this] { return accept(); }, asio::detached);
+}
+
+asio::awaitable<void> HttpServer::accept() {
+  for (;;) {
+    error_code error;
+    tcp::socket socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted) co_return;
+    if (error) {  // out of descriptors: others end soon
+      asio::steady_timer timer(io_, kAcceptPause);
+      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+      continue;
+    }
+    const auto session = std::make_shared<Session>(*this, std::move(socket));
+    asio::co_spawn(
+        io_, [session] { return session->run(); }, asio::detached);
+  }
+}
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/node/live_front.cpp
@@ -0,0 +1,172 @@
+#include "node/live_front.h"
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <charconv>
+#include <utility>
+
+namespace nettlestand::tier {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Millis kDefaultDeadlineMs = 30000;  // where neither client nor route states one
+constexpr Millis kQuotaWaitMs = 120;          // for a grant, before a request counts as beyond its quota
+constexpr Millis kQuotaStepMs = 15;
+const char* const kRetrySoon = "0.15";
+const char* const kRetryQuota = "0.5";
+
+bool equal_names(std::string_view a, std::string_view b) {
+  return boost::beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
+}
+
+// Headers that the system itself sets, or that the server must not see.
+bool is_own_header(std::string_view name) {
+  static constexpr std::string_view kOwn[] = {
+      "Host", "X-Api-Key", "X-Tenant", "X-Request-Id", "X-Deadline-Ms", "Last-Event-Id", "X-Expect-Instance"};
+  return std::any_of(std::begin(kOwn), std::end(kOwn),
+                     [&](std::string_view own) { return equal_names(own, name); });
+}
+
+Millis number_or(std::string_view text, Millis otherwise) {
+  Millis value = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+  return parsed.ec == std::errc() ? value : otherwise;
+}
+
+asio::awaitable<void> refuse(const std::shared_ptr<HttpExchange>& exchange, int status,
+                             const char* retry_after) {
+  HeaderList headers;
+  if (retry_after != nullptr) headers.emplace_back("Retry-After", retry_after);
+  co_await exchange->respond(status, std::move(headers), "");
+}
+
+// Passes a server's answer on to the client as it comes.
+class ClientSink : public AnswerSink {
+ public:
+  explicit ClientSink(std::shared_ptr<HttpExchange> exchange) : exchange_(std::move(exchange)) {}
+  asio::awaitable<bool> head(const ResponseHead& head) override {
+    // An event stream may be continued by another server, so its length is not promised.
+    co_return co_await exchange_->start(head.status, head.headers, head.has_length && !head.event_stream,
+                                        head.length);
+  }
+  asio::awaitable<bool> data(std::string_view bytes) override { co_return co_await exchange_->write(bytes); }
+
+ private:
+  std::shared_ptr<HttpExchange> exchange_;
+};
+
+}  // namespace
+
+asio::awaitable<void> LiveFront::handle(std::shared_ptr<HttpExchange> exchange) {
+  const HttpRequest& request = exchange->request;
+  const auto configuration = follower_.configuration();
+  if (!configuration || !follower_.is_fresh(steady_now()))
+    co_return co_await refuse(exchange, 503, kRetrySoon);
+  const bool job_call = BatchFront::is_job_path(request.path());
+  const Route* route = job_call ? nullptr : configuration->find_route(request.host(), request.path());
+  if (!job_call && route == nullptr) co_return co_await refuse(exchange, 404, nullptr);
+
+  Caller caller;
+  const bool keyed = !configuration->tenants().empty() && (job_call || !route->is_public);
+  if (keyed) {
+    caller.key = std::string(request.header("X-Api-Key"));
+    caller.account = configuration->tenant_of(caller.key);
+    if (caller.account == nullptr) co_return co_await refuse(exchange, 401, nullptr);
+    caller.tenant = caller.account->name;
+  }
+  if (job_call) co_return co_await batch_.call(std::move(exchange), caller.tenant);
+  if (request.header("X-Request-Id").empty()) co_return co_await refuse(exchange, 400, nullptr);
+  if (route->route_class == RouteClass::kBatch) {
+    co_return co_await batch_.submit(std::move(exchange), *route, caller.tenant);
+  }
+  if (caller.account != nullptr && !co_await within_quota(*caller.account)) {
+    co_return co_await refuse(exchange, 429, kRetryQuota);
+  }
+  co_await serve(std::move(exchange), configuration, *route, std::move(caller));
+}
+
+asio::awaitable<bool> LiveFront::within_quota(const Tenant& tenant) {
+  const Millis until = steady_now() + kQuotaWaitMs;
+  for (;;) {
+    const Millis now = steady_now();
+    switch (follower_.quota().take(now, tenant)) {
+      case QuotaLease::Result::kTaken:
+        co_return true;
+      case QuotaLease::Result::kDenied:
+        co_return false;
+      case QuotaLease::Result::kWait:
+        break;
+    }
+    if (now >= until) co_return false;
+    follower_.poll_if_urgent(now);
+    co_await sleep_for(io_, kQuotaStepMs);
+  }
+}
+
+bool LiveFront::still_allowed(const std::string& host, const std::string& path, const Caller& caller,
+                              const std::string& service) const {
+  if (!follower_.is_fresh(steady_now())) return false;
+  const auto current = follower_.configuration();
+  const Route* route = current->find_route(host, path);
+  if (route == nullptr) return false;
+  if (caller.account != nullptr) {
+    const Tenant* holder = current->tenant_of(caller.key);
+    if (holder == nullptr || holder->name != caller.tenant) return false;
+  }
+  return std::any_of(route->split.begin(), route->split.end(),
+                     [&](const ServiceWeight& part) { return part.service == service && part.weight > 0; });
+}
+
+asio::awaitable<void> LiveFront::serve(std::shared_ptr<HttpExchange> exchange,
+                                       std::shared_ptr<const Configuration> configuration, const Route& route,
+                                       Caller caller) {
+  HttpRequest& request = exchange->request;
+  ForwardRequest forward;
+  forward.configuration = configuration;
+  forward.route = &route;
+  forward.service = route.service_for(random_.unit());
+  forward.tenant = caller.tenant;
+  forward.id = std::string(request.header("X-Request-Id"));
+  forward.method = request.method;
+  forward.target = request.target;
+  forward.host = std::string(request.header("Host"));
+  const Millis client_ms = number_or(request.header("X-Deadline-Ms"), kDefaultDeadlineMs);
+  const Millis route_ms = route.timeout_ms > 0 ? static_cast<Millis>(route.timeout_ms) : kDefaultDeadlineMs;
+  forward.deadline = request.received_at + std::min(client_ms, route_ms);
+  if (const std::string_view last = request.header("Last-Event-Id"); !last.empty()) {
+    forward.last_event_id = static_cast<std::uint64_t>(number_or(last, 0));
+    forward.has_last_event_id = true;
+  }
+  for (const auto& [name, value] : request.headers) {
+    if (!is_own_header(name)) forward.headers.emplace_back(name, value);
+  }
+  forward.body = std::move(request.body);
+  forward.may_send = [this, host = request.host(), path = std::string(request.path()), caller,
+                      service = forward.service] { return still_allowed(host, path, caller, service); };
+
+  const auto sink = std::make_shared<ClientSink>(exchange);
+  exchange->on_gone = [weak = std::weak_ptr<ClientSink>(sink)] {
+    const auto alive = weak.lock();
+    if (!alive) return;
+    alive->client_gone = true;
+    if (alive->abandon) alive->abandon();
+  };
+  const ForwardResult result = co_await forwarder_.forward(std::move(forward), *sink);
+  switch (result.end) {
+    case ForwardEnd::kAnswered:
+      co_return co_await exchange->finish();
+    case ForwardEnd::kCut:
+    case ForwardEnd::kAbandoned:
+      exchange->abort();
+      co_return;
+    case ForwardEnd::kRefused:
+      co_return co_await refuse(exchange, 503, kRetrySoon);
+    case ForwardEnd::kFailed:
+      co_return co_await refuse(exchange, 502, nullptr);
+    case ForwardEnd::kTimedOut:
+      co_return co_await refuse(exchange, 504, nullptr);
+  }
+}
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/node/live_front.h
@@ -0,0 +1,46 @@
+// Clients' requests at an edge node: route, key, quota, and on to a server; batch calls to their own front.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+
+#include "admission/random.h"
+#include "control/follower.h"
+#include "forwarding/forwarder.h"
+#include "node/batch_front.h"
+#include "node/http_server.h"
+
+namespace nettlestand::tier {
+
+class LiveFront {
+ public:
+  LiveFront(boost::asio::io_context& io, ControlFollower& follower, Forwarder& forwarder, BatchFront& batch,
+            std::uint64_t seed)
+      : io_(io), follower_(follower), forwarder_(forwarder), batch_(batch), random_(seed) {}
+
+  boost::asio::awaitable<void> handle(std::shared_ptr<HttpExchange> exchange);
+
+ private:
+  // Who asks, and whether that is known; answered where it isn't.
+  struct Caller {
+    std::string key, tenant;
+    const Tenant* account = nullptr;
+  };
+  boost::asio::awaitable<bool> within_quota(const Tenant& tenant);
+  boost::asio::awaitable<void> serve(std::shared_ptr<HttpExchange> exchange,
+                                     std::shared_ptr<const Configuration> configuration, const Route& route,
+                                     Caller caller);
+  // Whether the configuration in force now still lets this request go to this service.
+  bool still_allowed(const std::string& host, const std::string& path, const Caller& caller,
+                     const std::string& service) const;
+
+  boost::asio::io_context& io_;
+  ControlFollower& follower_;
+  Forwarder& forwarder_;
+  BatchFront& batch_;
+  quinceusher::Random random_;
+};
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/node/pending_calls.h
@@ -0,0 +1,61 @@
+// Calls to other nodes that wait for their replies.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "base/time.h"
+
+namespace nettlestand::tier {
+
+template <class Reply>
+class PendingCalls {
+ public:
+  explicit PendingCalls(boost::asio::io_context& io) : io_(io) {}
+
+  // A number for a call; numbers are never used twice in a process's life.
+  std::uint64_t next_number() { return ++numbers_; }
+
+  // The reply to a call, or nothing where none came in time.
+  boost::asio::awaitable<std::optional<Reply>> wait(std::uint64_t call, Millis timeout) {
+    auto waiting = std::make_shared<Waiting>(io_);
+    waiting_[call] = waiting;
+    boost::system::error_code ignored;
+    waiting->timer.expires_after(std::chrono::milliseconds(timeout));
+    co_await waiting->timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    waiting_.erase(call);
+    co_return std::move(waiting->reply);
+  }
+
+  void deliver(Reply reply) {
+    const auto found = waiting_.find(reply.call);
+    if (found == waiting_.end()) return;
+    found->second->reply = std::move(reply);
+    found->second->timer.cancel();
+  }
+
+ private:
+  struct Waiting {
+    explicit Waiting(boost::asio::io_context& io) : timer(io) {}
+    boost::asio::steady_timer timer;
+    std::optional<Reply> reply;
+  };
+  boost::asio::io_context& io_;
+  std::uint64_t numbers_ = 0;
+  std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting_;
+};
+
+inline boost::asio::awaitable<void> sleep_for(boost::asio::io_context& io, Millis time) {
+  boost::asio::steady_timer timer(io, std::chrono::milliseconds(time));
+  boost::system::error_code ignored;
+  co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/node/settings.cpp
@@ -0,0 +1,156 @@
+#include "node/settings.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <toml++/toml.h>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace nettlestand::tier {
+namespace {
+
+namespace hana = boost::hana;
+
+// What a process can do without, and what it takes instead.
+const std::set<std::string> kOptional = {"seeds",
+                                         "bootstrap",
+                                         "data_dir",
+                                         "region",
+                                         "listen",
+                                         "listen.front",
+                                         "listen.ready",
+                                         "listen.control",
+                                         "limits",
+                                         "limits.cpu_share",
+                                         "limits.memory_mb",
+                                         "limits.max_fds",
+                                         "limits.disk_mb",
+                                         "fault_tolerance",
+                                         "fault_tolerance.machines",
+                                         "bounds",
+                                         "log",
+                                         "log.level",
+                                         "cloud_api",
+                                         "cloud_api.rate_per_s",
+                                         "cloud_api.max_lag_ms",
+                                         "cloud_api.address"};
+
+Settings defaults() {
+  Settings out{};
+  out.bounds.grace_s = 8;
+  out.bounds.global_revocation = true;
+  out.bounds.revoke_ms = 5000;
+  out.bounds.quota_window_s = 5;
+  out.bounds.quota_overage = 0.1;
+  out.bounds.drain_ms = 3000;
+  out.bounds.config_apply_ms = 2000;
+  out.bounds.status_s = 120;
+  out.bounds.ack_ms = 4000;
+  out.limits.cpu_share = 1;
+  out.limits.memory_mb = 256;
+  out.limits.max_fds = 1024;
+  out.limits.disk_mb = 64;
+  out.fault_tolerance.machines = 1;
+  out.cloud_api.rate_per_s = 10;
+  out.cloud_api.max_lag_ms = 1000;
+  out.log.level = "info";
+  return out;
+}
+
+// Reads a table into a struct, member by member, and collects what is wrong.
+class Reader {
+ public:
+  template <class Struct>
+  void read(const toml::table& table, const std::string& prefix, Struct& out) {
+    hana::for_each(hana::accessors<Struct>(), [&](auto member) {
+      const std::string key = hana::to<const char*>(hana::first(member));
+      const std::string name = prefix + key;
+      const toml::node* node = table.get(key);
+      if (node == nullptr) {
+        const bool optional = kOptional.contains(name) || name.starts_with("bounds.");
+        if (!optional) fault(table, absl::StrCat(name, " is missing"));
+        return;
+      }
+      read_value(*node, name, hana::second(member)(out));
+    });
+  }
+  const std::vector<std::string>& faults() const { return faults_; }
+  void fault(const toml::node& node, const std::string& what) {
+    faults_.push_back(absl::StrCat("line ", node.source().begin.line, ": ", what));
+  }
+
+ private:
+  template <class Value>
+  void read_value(const toml::node& node, const std::string& name, Value& out) {
+    if constexpr (hana::Struct<Value>::value) {
+      if (const toml::table* table = node.as_table()) return read(*table, name + ".", out);
+      fault(node, absl::StrCat(name, " has to be a table"));
+    } else if constexpr (std::is_same_v<Value, std::vector<std::string>> ||
+                         std::is_same_v<Value, std::vector<std::int64_t>>) {
+      const toml::array* array = node.as_array();
+      if (array == nullptr) return fault(node, absl::StrCat(name, " has to be a list"));
+      out.clear();
+      for (const toml::node& element : *array) read_value(element, name, out.emplace_back());
+    } else {
+      const auto value = node.value<Value>();
+      if (!value) return fault(node, absl::StrCat(name, " has a value of the wrong type"));
+      out = *value;
+    }
+  }
+  std::vector<std::string> faults_;
+};
+
+void check(const toml::table& table, const Settings& settings, Reader& reader) {
+  const auto at = [&](const char* key) -> const toml::node& {
+    const toml::node* node = table.get(key);
+    return node != nullptr ? *node : table;
+  };
+  const auto& ports = settings.internal_port_range;
+  if (ports.size() != 2 || ports[0] < 1 || ports[1] > 65535 || ports[0] > ports[1]) {
+    reader.fault(at("internal_port_range"),
+                 "internal_port_range has to be two ports, the first not above the second");
+  }
+  const BoundSettings& bounds = settings.bounds;
+  if (bounds.grace_s <= 0 || bounds.revoke_ms <= 0 || bounds.quota_window_s <= 0 || bounds.drain_ms <= 0) {
+    reader.fault(at("bounds"), "bounds have to be above 0");
+  }
+  if (settings.fault_tolerance.machines < 0) reader.fault(at("fault_tolerance"), "machines can't be below 0");
+  static const std::set<std::string> kLevels = {"debug", "info", "warning", "error"};
+  if (!kLevels.contains(settings.log.level)) {
+    reader.fault(at("log"), "log.level has to be debug, info, warning or error");
+  }
+}
+
+}  // namespace
+
+std::string Settings::internal_address_of(const std::string& control_address) const {
+  return control_address.substr(0, control_address.rfind(':')) + ":" +
+         std::to_string(internal_port_range.at(0));
+}
+
+absl::StatusOr<Settings> parse_settings(const std::string& text) {
+  Settings out = defaults();
+  try {
+    const toml::table table = toml::parse(text);
+    Reader reader;
+    reader.read(table, "", out);
+    if (reader.faults().empty()) check(table, out, reader);
+    if (!reader.faults().empty()) return absl::InvalidArgumentError(absl::StrJoin(reader.faults(), "\n"));
+  } catch (const toml::parse_error& error) {
+    return absl::InvalidArgumentError(
+        absl::StrCat("line ", error.source().begin.line, ": ", std::string(error.description())));
+  }
+  return out;
+}
+
+absl::StatusOr<Settings> read_settings(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return absl::NotFoundError(absl::StrCat("can't read ", path));
+  std::ostringstream text;
+  text << file.rdbuf();
+  return parse_settings(text.str());
+}
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/routing/quota.cpp
@@ -0,0 +1,114 @@
+#include "routing/quota.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace nettlestand::tier {
+namespace {
+
+constexpr double kHorizonSeconds = 0.6;  // a node holds tokens for so long at its present rate
+constexpr double kLeastHeld = 2;         // and so many at least
+constexpr double kMostHeldSeconds =
+    0.25;                               // of the tenant's whole rate, so that no node holds what others need
+constexpr double kRateSmoothing = 0.5;  // weight of the newest measure
+constexpr Millis kExhaustedMs = 120;    // a tenant at its limit is denied at once for so long
+constexpr double kDepthShare =
+    0.45;  // of what the bounds leave: an owner and its successor fit in one window
+constexpr double kFallbackDepthSeconds = 0.5;
+
+}  // namespace
+
+double QuotaOwner::depth(const Tenant& tenant, std::size_t nodes) const {
+  const double allowed =
+      (tenant.rate_per_s * bounds_.window_s + tenant.burst) * (1 + bounds_.overage) + bounds_.slack;
+  const double held_by_nodes = tenant.rate_per_s * kHorizonSeconds + kLeastHeld * static_cast<double>(nodes);
+  const double left = allowed - tenant.rate_per_s * bounds_.window_s - held_by_nodes;
+  return std::max(1.0, left * kDepthShare);
+}
+
+std::vector<TokenGrant> QuotaOwner::grant(Millis now, const Configuration& configuration, double reachable,
+                                          std::size_t nodes, const std::vector<TokenRequest>& requests) {
+  std::vector<TokenGrant> out;
+  for (const TokenRequest& request : requests) {
+    const Tenant* tenant = configuration.tenant_named(request.tenant);
+    if (tenant == nullptr || tenant->rate_per_s <= 0) continue;
+    Bucket& bucket = buckets_[request.tenant];
+    const double most = depth(*tenant, nodes);
+    if (bucket.refilled == 0) {
+      bucket.refilled = now;
+      bucket.tokens = most;
+    }
+    const double elapsed = static_cast<double>(now - bucket.refilled) / 1000;
+    bucket.refilled = now;
+    bucket.tokens =
+        std::min(most, bucket.tokens + elapsed * tenant->rate_per_s * reachable + request.returned);
+    TokenGrant grant{};
+    grant.tenant = request.tenant;
+    grant.granted = static_cast<std::uint32_t>(std::min<double>(request.wanted, std::floor(bucket.tokens)));
+    grant.exhausted = grant.granted < request.wanted;
+    bucket.tokens -= grant.granted;
+    out.push_back(std::move(grant));
+  }
+  return out;
+}
+
+QuotaLease::Result QuotaLease::take(Millis now, const Tenant& tenant) {
+  if (tenant.rate_per_s <= 0) return Result::kTaken;
+  Held& held = held_[tenant.name];
+  ++held.seen;
+  held.limit = tenant.rate_per_s;
+  if (heard_ + kQuotaFallbackMs < now) {
+    const double rate = tenant.rate_per_s / static_cast<double>(std::max<std::size_t>(edges_, 1));
+    const Millis since = std::max(held.fallback_at, heard_ + kQuotaFallbackMs);
+    const double most = std::max(1.0, rate * kFallbackDepthSeconds);
+    held.tokens =
+        std::min(std::max(most, held.tokens), held.tokens + rate * static_cast<double>(now - since) / 1000);
+    held.fallback_at = now;
+  }
+  if (held.tokens >= 1) {
+    held.tokens -= 1;
+    return Result::kTaken;
+  }
+  if (now < held.exhausted_until) return Result::kDenied;
+  ++held.waiting;
+  urgent_ = true;
+  return Result::kWait;
+}
+
+std::vector<TokenRequest> QuotaLease::requests(Millis now) {
+  std::vector<TokenRequest> out;
+  urgent_ = false;
+  for (auto& [tenant, held] : held_) {
+    const double elapsed = std::max(0.05, static_cast<double>(now - held.measured) / 1000);
+    const double measured = static_cast<double>(held.seen) / std::min(elapsed, 5.0);
+    held.rate += kRateSmoothing * (measured - held.rate);
+    held.measured = now;
+    held.seen = 0;
+    const double most = std::max(kLeastHeld, held.limit * kMostHeldSeconds);
+    const double needed = held.rate * kHorizonSeconds + kLeastHeld + static_cast<double>(held.waiting);
+    const double target = std::ceil(std::min(needed, most));
+    held.waiting = 0;
+    TokenRequest request{};
+    request.tenant = tenant;
+    if (held.tokens < target) {
+      request.wanted = static_cast<std::uint32_t>(std::ceil(target - held.tokens));
+    } else {
+      request.returned = static_cast<std::uint32_t>(std::floor(held.tokens - target));
+      held.tokens -= request.returned;
+    }
+    if (request.wanted > 0 || request.returned > 0) out.push_back(std::move(request));
+  }
+  return out;
+}
+
+void QuotaLease::on_grants(Millis now, const std::vector<TokenGrant>& grants, std::size_t edges) {
+  heard_ = now;
+  edges_ = edges;
+  for (const TokenGrant& grant : grants) {
+    Held& held = held_[grant.tenant];
+    held.tokens += grant.granted;
+    if (grant.exhausted && grant.granted == 0) held.exhausted_until = now + kExhaustedMs;
+  }
+}
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/routing/quota.h
@@ -0,0 +1,74 @@
+// Tenants' quotas, leased from one owner to the nodes by demand. Both halves decide only.
+//
+// The owner refills a bucket for each tenant and grants tokens against the nodes' requests; a request that
+// runs costs the node one token. What a node holds beyond its need goes back with its next poll. A node that
+// the owner does not hear may fall back on a fixed part of the rate, so the owner sets that part aside
+// meanwhile.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "control/configuration.h"
+#include "messaging/messages.h"
+
+namespace nettlestand::tier {
+
+// A node falls back on its fixed part after this long without an answer of the owner.
+constexpr Millis kQuotaFallbackMs = 1500;
+// The owner counts a node as out of touch after this long, which is sooner.
+constexpr Millis kQuotaMissingMs = 1100;
+
+struct QuotaBounds {
+  double window_s = 5;
+  double overage = 0.1;
+  double slack = 20;
+};
+
+class QuotaOwner {
+ public:
+  explicit QuotaOwner(QuotaBounds bounds) : bounds_(bounds) {}
+  // `reachable`: the part of the nodes, 0 to 1, that the owner hears.
+  std::vector<TokenGrant> grant(Millis now, const Configuration& configuration, double reachable,
+                                std::size_t nodes, const std::vector<TokenRequest>& requests);
+
+ private:
+  struct Bucket {
+    double tokens = 0;
+    Millis refilled = 0;
+  };
+  double depth(const Tenant& tenant, std::size_t nodes) const;
+  QuotaBounds bounds_;
+  std::map<std::string, Bucket> buckets_;
+};
+
+class QuotaLease {
+ public:
+  enum class Result { kTaken, kWait, kDenied };
+  // kWait: a grant may come within moments.
+  Result take(Millis now, const Tenant& tenant);
+  // What to ask for, and to give back, with the next poll.
+  std::vector<TokenRequest> requests(Millis now);
+  void on_grants(Millis now, const std::vector<TokenGrant>& grants, std::size_t edges);
+  // Whether a tenant ran out of tokens that a poll may bring.
+  bool is_urgent() const { return urgent_; }
+
+ private:
+  struct Held {
+    double tokens = 0;
+    double rate = 0;       // requests per second, smoothed
+    double limit = 0;      // the tenant's rate over all nodes
+    std::size_t seen = 0;  // since the last request for tokens
+    std::size_t waiting = 0;
+    Millis measured = 0;
+    Millis exhausted_until = 0;
+    Millis fallback_at = 0;
+  };
+  std::map<std::string, Held> held_;
+  std::size_t edges_ = 1;
+  Millis heard_ = 0;
+  bool urgent_ = false;
+};
+
+}  // namespace nettlestand::tier
--- a/src/support.h
+++ b/src/support.h
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "admission/random.h"
+#include "admission/sliding_window.h"
 #include "quinceusher/balancer.h"
 
 namespace quinceusher {
@@ -17,101 +19,6 @@
 // Throws std::invalid_argument, naming the field, when the settings cannot be used.
 void validate(const Settings& settings);
 
-// splitmix64 with its own mapping to ranges: the same on every platform.
-class Random {
- public:
-  explicit Random(std::uint64_t seed) : state_(seed) {}
-  std::uint64_t next() {
-    std::uint64_t z = (state_ += 0x9E3779B97F4A7C15ULL);
-    z = (z ^ (z >> 30)) * 0xBF58476D1CE4E5B9ULL;
-    z = (z ^ (z >> 27)) * 0x94D049BB133111EBULL;
-    return z ^ (z >> 31);
-  }
-  double unit() { return static_cast<double>(next() >> 11) * 0x1.0p-53; }
-  std::size_t below(std::size_t n) { return static_cast<std::size_t>(unit() * static_cast<double>(n)); }
-
- private:
-  std::uint64_t state_;
-};
-
-// FNV-1a: orders servers alike at every copy, without regard to how addresses were handed out.
-inline std::uint64_t hash_of(const std::string& text) {
-  std::uint64_t h = 0xCBF29CE484222325ULL;
-  for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001B3ULL;
-  return Random(h).next();
-}
-
-// Total and declined calls of the last few seconds, in buckets; the latest of them also make the short rate.
-class SlidingWindow {
- public:
-  struct Sums {
-    double total = 0, declined = 0, last_second = 0;
-  };
-  SlidingWindow(double bucket_s, int buckets, int short_buckets)
-      : bucket_s_(bucket_s), short_buckets_(short_buckets), buckets_(static_cast<std::size_t>(buckets)) {}
-
-  void add(double now, bool denied) {
-    advance(slot_of(now));
-    Bucket& bucket = at(slot_);
-    bucket.total += 1;
-    sums_.total += 1;
-    sums_.last_second += 1;
-    if (!denied) return;
-    bucket.declined += 1;
-    sums_.declined += 1;
-  }
-
-  Sums sums(double now) const {
-    SlidingWindow::Sums out = sums_;
-    const std::int64_t count = std::ssize(buckets_), slot = slot_of(now);
-    for (std::int64_t s = slot_ + 1; s <= std::min(slot, slot_ + count); ++s) leave(s, out);
-    return out;
-  }
-
- private:
-  struct Bucket {
-    double total = 0, declined = 0;
-  };
-  std::int64_t slot_of(double now) const { return static_cast<std::int64_t>(std::floor(now / bucket_s_)); }
-  Bucket& at(std::int64_t slot) {
-    const std::int64_t count = std::ssize(buckets_);
-    return buckets_[static_cast<std::size_t>(((slot % count) + count) % count)];
-  }
-  const Bucket& at(std::int64_t slot) const { return const_cast<SlidingWindow*>(this)->at(slot); }
-
-  // Takes from the sums what has no place in them any more once `slot` is the latest.
-  void leave(std::int64_t slot, Sums& sums) const {
-    const Bucket& old = at(slot);  // the one that stood there a window ago
-    sums.total -= old.total;
-    sums.declined -= old.declined;
-    if (slot - short_buckets_ <= slot_) sums.last_second -= at(slot - short_buckets_).total;
-  }
-  void advance(std::int64_t slot) {
-    if (slot <= slot_) return;
-    if (slot - slot_ >= std::ssize(buckets_)) {
-      std::fill(buckets_.begin(), buckets_.end(), Bucket());
-      sums_ = Sums();
-      slot_ = slot;
-      return;
-    }
-    while (slot_ < slot) {
-      const std::int64_t next = slot_ + 1;
-      const double short_leaves = at(next - short_buckets_).total;
-      sums_.total -= at(next).total;
-      sums_.declined -= at(next).declined;
-      sums_.last_second -= short_leaves;
-      at(next) = Bucket();
-      slot_ = next;
-    }
-  }
-
-  double bucket_s_;
-  int short_buckets_;
-  std::vector<Bucket> buckets_;
-  Sums sums_;
-  std::int64_t slot_ = std::numeric_limits<std::int64_t>::min() / 2;  // the latest that anything was added to
-};
-
 // Events per second, with exponential forgetting.
 class FadingRate {
  public:
--- a/standins/world/world.cpp
+++ b/standins/world/world.cpp
@@ -179,7 +179,7 @@
   ProcessOptions options = s_.process;
   options.environment.push_back("NETTLESTAND_STATE=" + states_[i]->path());
   if (seams_[i]) {
-    options.environment.push_back("LD_PRELOAD=" + s_.seams);
+    options.environment.push_back(s_.seams);
     options.environment.push_back(seams_[i]->environment());
   }
   if (s_.logs) options.arguments = {"run", "--log-format", "json"};
--- a/standins/world/world.h
+++ b/standins/world/world.h
@@ -44,8 +44,9 @@
   std::string duties;  // more lines of [duties] in all nodes' files, and sections behind it
   // Called for each voter before its first start, with its state folder: makes what it votes with.
   std::function<void(std::size_t node, const std::string& folder)> before_voting;
-  bool logs = true;   // nodes log in JSON, for the timeline
-  std::string seams;  // the preloaded library's file, for wrong clocks and disks; or empty
+  bool logs = true;  // nodes log in JSON, for the timeline
+  std::string
+      seams;  // the assignment of the environment that puts the seams before a node, from the tests; or empty
 };
 
 // What a world took of the machine. Where nodes were kept waiting for a core for longer than they may,
--- a/tests/duties/processes_test.cpp
+++ b/tests/duties/processes_test.cpp
@@ -27,7 +27,7 @@
           const std::string& more = "", const std::string& of_duty = "", bool seams = false)
       : d(nodes, voters, count, step, more, of_duty), count(count), voters(voters) {
 #ifdef SEAMS
-    if (seams) d.settings.seams = SEAMS;
+    if (seams) d.settings.seams = std::string("LD_PRELOAD=") + SEAMS;
 #else
     static_cast<void>(seams);
 #endif
--- a/tests/lab/seams_test.cpp
+++ b/tests/lab/seams_test.cpp
@@ -104,7 +104,7 @@
   WorldSettings s;
   s.binary = NODE;
   s.nodes = 2;
-  s.seams = SEAMS;
+  s.seams = std::string("LD_PRELOAD=") + SEAMS;
   s.node.tenants = {{"acme", 1000}};
   s.load.rate = 100;
   ProcessWorld w(s);
--- a/tests/peers/processes_test.cpp
+++ b/tests/peers/processes_test.cpp
@@ -437,7 +437,7 @@
 #ifdef SEAMS  // which are loaded before the program, where a sanitizer's library wants to be
 TEST(PeersProcesses, NothingDependsOnWallClocks) {
   WorldSettings s = asked_world(5);
-  s.seams = SEAMS;
+  s.seams = std::string("LD_PRELOAD=") + SEAMS;
   ProcessWorld w(s);
   w.start();
   UNTIL(agree(w, up_to(5)));
