--- /dev/null
+++ b/standins/tier/engine.cpp
@@ -0,0 +1,144 @@
+#include "standins/tier/engine.h"
+
+#include <boost/asio/post.hpp>
+#include <future>
+
+#include "node/pending_calls.h"
+
+namespace nettlestand::tier::standins {
+namespace {
+
+namespace asio = boost::asio;
+
+HttpLimits wide_limits() { return {65536, 64U << 20, 10000, 60000}; }
+
+std::string event_of(std::uint64_t number) {
+  return "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n";
+}
+
+// Made by a function of its own: GCC 12 can't have a list of braces inside an awaited call.
+HeaderList headers_of(const std::string& request_id, const char* name, const std::string& value) {
+  HeaderList out;
+  if (!request_id.empty()) out.emplace_back("X-Request-Id", request_id);
+  out.emplace_back(name, value);
+  return out;
+}
+
+}  // namespace
+
+LoopThread::LoopThread() : thread_([this] { io_.run(); }) {}
+
+LoopThread::~LoopThread() {
+  io_.stop();
+  thread_.join();
+}
+
+void LoopThread::run(const std::function<void()>& function) {
+  std::promise<void> done;
+  asio::post(io_, [&] {
+    function();
+    done.set_value();
+  });
+  done.get_future().get();
+}
+
+Engine::Engine(LoopThread& loop, std::string id, std::string address, int events)
+    : loop_(loop), address_(std::move(address)), events_(events), id_(std::move(id)) {
+  loop_.run([this] {
+    server_ = std::make_unique<HttpServer>(
+        loop_.io(), address_, [] { return wide_limits(); },
+        [this](std::shared_ptr<HttpExchange> exchange) { return handle(std::move(exchange)); });
+    server_->listen();
+  });
+}
+
+void Engine::set_instance(std::string id) {
+  const std::lock_guard lock(mutex_);
+  id_ = std::move(id);
+}
+
+std::vector<SeenRequest> Engine::seen() const {
+  const std::lock_guard lock(mutex_);
+  return seen_;
+}
+
+asio::awaitable<void> Engine::handle(std::shared_ptr<HttpExchange> exchange) {
+  const HttpRequest& request = exchange->request;
+  const std::string id(request.header("X-Request-Id"));
+  HeaderList headers = headers_of(id, "X-Response-Signature", "signature of " + id);
+  std::string instance;
+  {
+    const std::lock_guard lock(mutex_);
+    instance = id_;
+  }
+  if (const std::string_view expected = request.header("X-Expect-Instance");
+      !expected.empty() && expected != instance) {
+    co_return co_await exchange->respond(421, headers_of(id, "X-Instance-Id", instance), "");
+  }
+  const EngineMode mode = mode_;
+  if (mode == EngineMode::kFull) {
+    co_return co_await exchange->respond(503, headers_of(id, "X-Not-Executed", "1"), "");
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    seen_.push_back({id, request.target, std::string(request.header("X-Tenant")), request.body,
+                     std::string(request.header("Last-Event-Id")), std::string(request.header("X-Api-Key"))});
+  }
+  if (mode == EngineMode::kError) co_return co_await exchange->respond(500, headers, "broken");
+  if (mode == EngineMode::kUnprocessable) co_return co_await exchange->respond(422, headers, "never");
+  headers.emplace_back("Content-Type", "text/event-stream");
+  std::uint64_t first = 1;
+  if (const std::string_view last = request.header("Last-Event-Id"); !last.empty())
+    first = std::stoul(std::string(last)) + 1;
+  if (!co_await exchange->start(200, headers, false, 0)) co_return;
+  for (auto number = first; number <= static_cast<std::uint64_t>(events_); ++number) {
+    if (mode == EngineMode::kCutInEvent && number == first + 1) {
+      mode_ = EngineMode::kStream;
+      const std::string event = event_of(number);
+      co_await exchange->write(std::string_view(event).substr(0, event.size() / 2));
+      exchange->abort();
+      co_return;
+    }
+    if (!co_await exchange->write(event_of(number))) co_return;
+    if (pause_ms_ > 0) co_await sleep_for(loop_.io(), pause_ms_);
+  }
+  co_await exchange->finish();
+}
+
+Platform::Platform(LoopThread& loop, std::string address) : address_(std::move(address)) {
+  loop.run([this, &loop] {
+    server_ = std::make_unique<HttpServer>(
+        loop.io(), address_, [] { return wide_limits(); },
+        [this](std::shared_ptr<HttpExchange> exchange) { return handle(std::move(exchange)); });
+    server_->listen();
+  });
+}
+
+void Platform::set_servers(std::vector<Entry> servers) {
+  const std::lock_guard lock(mutex_);
+  servers_ = std::move(servers);
+}
+
+asio::awaitable<void> Platform::handle(std::shared_ptr<HttpExchange> exchange) {
+  ++calls_;
+  // Two entries a page, so that readers have to follow.
+  constexpr std::size_t kPage = 2;
+  const std::string token = exchange->request.query("page_token");
+  const std::size_t from = token.empty() ? 0 : std::stoul(token.substr(1));
+  std::string body = "{\"instances\":[";
+  {
+    const std::lock_guard lock(mutex_);
+    const std::size_t to = std::min(from + kPage, servers_.size());
+    for (std::size_t i = from; i < to; ++i) {
+      const Entry& entry = servers_[i];
+      body += std::string(i > from ? "," : "") + "{\"id\":\"" + entry.id + "\",\"service\":\"" +
+              entry.service + "\",\"address\":\"" + entry.address + "\",\"zone\":\"" + entry.zone +
+              "\",\"slots\":32,\"cold_left_ms\":0,\"state\":\"" + entry.state + "\"}";
+    }
+    body += "],\"next_token\":" +
+            (to < servers_.size() ? "\"p" + std::to_string(to) + "\"" : std::string("null")) + "}";
+  }
+  co_await exchange->respond(200, headers_of("", "Content-Type", "application/json"), std::move(body));
+}
+
+}  // namespace nettlestand::tier::standins
--- /dev/null
+++ b/standins/tier/tier_world.cpp
@@ -0,0 +1,225 @@
+#include "standins/tier/tier_world.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+#include "messaging/network.h"
+
+namespace nettlestand::tier::standins {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+constexpr int kFrontPort = 18405, kReadyPort = 18406, kControlPort = 18407, kInternalPort = 17660;
+constexpr int kPlatformPort = 18408, kEnginePort = 19000;
+constexpr std::size_t kFirstEngineIp = 100, kPlatformIp = 90;
+
+}  // namespace
+
+TierWorld::TierWorld(const WorldOptions& options) : options_(options) {
+  std::string pattern = (std::filesystem::temp_directory_path() / "nettlestand-tier-XXXXXX").string();
+  if (::mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder");
+  folder_ = pattern;
+  // Loopback addresses of this process's own, so that worlds stand beside each other.
+  net_ = static_cast<unsigned>(::getpid()) % 50000;
+  platform_ = std::make_unique<Platform>(loop_, ip(kPlatformIp) + ":" + std::to_string(kPlatformPort));
+  for (std::size_t i = 0; i < options_.engines; ++i) {
+    engines_.push_back(std::make_unique<Engine>(loop_, "i-" + std::to_string(i),
+                                                ip(kFirstEngineIp + i) + ":" + std::to_string(kEnginePort)));
+  }
+  platform_->set_servers(listed());
+  for (std::size_t i = 0; i < options_.core + options_.plain_edges + options_.stores; ++i) {
+    Node node;
+    const bool store = i >= edges();
+    node.role = store ? "store" : "edge";
+    node.name = node.role + "-" + std::to_string(i);
+    node.ip = ip(i + 1);
+    node.has_disk = store || i < options_.core;
+    node.folder = folder_ + "/" + node.name;
+    if (node.has_disk) std::filesystem::create_directory(node.folder);
+    nodes_.push_back(node);
+  }
+  for (std::size_t i = 0; i < nodes_.size(); ++i) start(i, true);
+}
+
+TierWorld::~TierWorld() {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) kill(i);
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+std::string TierWorld::ip(std::size_t i) const {
+  return "127." + std::to_string(10 + net_ / 250) + "." + std::to_string(net_ % 250) + "." +
+         std::to_string(i);
+}
+
+std::vector<Platform::Entry> TierWorld::listed() const {
+  std::vector<Platform::Entry> out;
+  for (std::size_t i = 0; i < engines_.size(); ++i) {
+    Platform::Entry entry;
+    entry.id = "i-" + std::to_string(i);
+    entry.service = "models";
+    entry.address = engines_[i]->address();
+    entry.zone = std::string("zone-") + static_cast<char>('a' + i % 3);
+    out.push_back(entry);
+  }
+  return out;
+}
+
+void TierWorld::write_settings(const Node& node, bool bootstrap) const {
+  std::ofstream file(folder_ + "/" + node.name + ".toml");
+  const auto text = [&](const char* key, const std::string& value) {
+    file << key << " = \"" << value << "\"\n";
+  };
+  const auto address = [&](int port) { return node.ip + ":" + std::to_string(port); };
+  text("node_name", node.name);
+  text("machine_class", node.role == "store" ? "storage" : "edge");
+  text("ip", node.ip);
+  text("zone", std::string("zone-") + static_cast<char>('a' + (node.name.back() - '0') % 3));
+  file << "internal_port_range = [" << kInternalPort << ", " << kInternalPort + 15 << "]\nseeds = [";
+  for (std::size_t i = 1; i <= 3; ++i)
+    file << (i > 1 ? ", " : "") << '"' << ip(i) << ':' << kControlPort << '"';
+  file << "]\nbootstrap = " << (bootstrap ? "true" : "false") << "\n";
+  if (node.has_disk) text("data_dir", node.folder);
+  if (node.role == "edge") {
+    file << "[listen]\n";
+    text("front", address(kFrontPort));
+    text("ready", address(kReadyPort));
+    text("control", address(kControlPort));
+  }
+  file << "[limits]\ndisk_mb = 128\n[fault_tolerance]\nmachines = 1\n[cloud_api]\nrate_per_s = 40.0\n";
+  text("address", platform_->address());
+  file << options_.more_settings;
+}
+
+void TierWorld::start(std::size_t i, bool bootstrap) {
+  Node& node = nodes_.at(i);
+  write_settings(node, bootstrap);
+  const std::string settings = folder_ + "/" + node.name + ".toml", log = folder_ + "/" + node.name + ".log";
+  const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  // All is made ready ahead: between fork and exec a process with threads may call little.
+  const std::string variable = "NETTLESTAND_CONFIG=" + settings;
+  std::vector<char*> environment = {const_cast<char*>(variable.c_str()), nullptr};
+  const char* program = options_.program.c_str();
+  const char* role = node.role.c_str();
+  node.pid = ::fork();
+  if (node.pid != 0) {
+    ::close(out);
+    return;
+  }
+  ::dup2(out, STDOUT_FILENO);
+  ::dup2(out, STDERR_FILENO);
+  ::execle(program, program, role, nullptr, environment.data());
+  ::_exit(127);
+}
+
+void TierWorld::kill(std::size_t i) {
+  Node& node = nodes_.at(i);
+  if (node.pid <= 0) return;
+  ::kill(node.pid, SIGKILL);
+  ::waitpid(node.pid, nullptr, 0);
+  node.pid = 0;
+}
+
+void TierWorld::terminate(std::size_t i) { ::kill(nodes_.at(i).pid, SIGTERM); }
+
+int TierWorld::exit_code(std::size_t i) {
+  Node& node = nodes_.at(i);
+  int status = 0;
+  ::waitpid(node.pid, &status, 0);
+  node.pid = 0;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+void TierWorld::wipe(std::size_t i) {
+  std::filesystem::remove_all(nodes_.at(i).folder);
+  std::filesystem::create_directory(nodes_.at(i).folder);
+}
+
+std::string TierWorld::log(std::size_t i) const {
+  std::ifstream file(folder_ + "/" + nodes_.at(i).name + ".log");
+  std::ostringstream out;
+  out << file.rdbuf();
+  return out.str();
+}
+
+HttpResult TierWorld::call(const std::string& address, const std::string& method, const std::string& target,
+                           const HeaderList& headers, const std::string& body, int timeout_ms) const {
+  HttpResult out;
+  asio::io_context io;
+  beast::tcp_stream stream(io);
+  stream.expires_after(std::chrono::milliseconds(timeout_ms));
+  std::string request =
+      method + " " + target + " HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+  for (const auto& [name, value] : headers) request += name + ": " + value + "\r\n";
+  request += "\r\n" + body;
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(64U << 20);
+  boost::system::error_code result = asio::error::would_block;
+  stream.async_connect(parse_endpoint(address), [&](boost::system::error_code error) {
+    if (error) return;
+    asio::async_write(stream, asio::buffer(request), [&](boost::system::error_code failed, std::size_t) {
+      if (failed) return;
+      http::async_read(stream, buffer, parser,
+                       [&](boost::system::error_code end, std::size_t) { result = end; });
+    });
+  });
+  io.run();
+  if (!parser.is_header_done()) return out;
+  out.status = static_cast<int>(parser.get().result_int());
+  out.complete = !result;
+  out.body = parser.get().body();
+  for (const auto& field : parser.get()) {
+    std::string name(field.name_string().data(), field.name_string().size());
+    for (char& c : name) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    out.headers[name] = std::string(field.value().data(), field.value().size());
+  }
+  return out;
+}
+
+HttpResult TierWorld::client(std::size_t node, const std::string& method, const std::string& target,
+                             const HeaderList& headers, const std::string& body, int timeout_ms) const {
+  return call(nodes_.at(node).ip + ":" + std::to_string(kFrontPort), method, target, headers, body,
+              timeout_ms);
+}
+
+HttpResult TierWorld::control(std::size_t node, const std::string& method, const std::string& target,
+                              const HeaderList& headers, const std::string& body) const {
+  return call(nodes_.at(node).ip + ":" + std::to_string(kControlPort), method, target, headers, body);
+}
+
+bool TierWorld::ready(std::size_t node) const {
+  return call(nodes_.at(node).ip + ":" + std::to_string(kReadyPort), "GET", "/nettlestand/readiness",
+              {{"Host", "x"}}, "")
+             .status == 200;
+}
+
+HttpResult TierWorld::order(const std::string& verb, std::uint64_t base, const std::string& body) const {
+  HttpResult out;
+  until(15000, [&] {
+    for (std::size_t node = 0; node < edges(); ++node) {
+      if (nodes_[node].pid == 0) continue;
+      out = control(node, "POST", "/nettlestand/config/" + verb,
+                    {{"Host", "x"}, {"X-Base-Version", std::to_string(base)}}, body);
+      if (out.status == 200 || (out.status >= 400 && out.status < 500)) return true;
+    }
+    return false;
+  });
+  return out;
+}
+
+}  // namespace nettlestand::tier::standins
--- /dev/null
+++ b/standins/tier/tier_world.h
@@ -0,0 +1,91 @@
+// A small serving tier on loopback: real processes of the program, with the doubles of platform and engines,
+// and calls to it as clients and the operator make them.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "standins/tier/engine.h"
+
+namespace nettlestand::tier::standins {
+
+struct HttpResult {
+  int status = 0;                              // 0: no whole head came
+  std::map<std::string, std::string> headers;  // names in lower case
+  std::string body;
+  bool complete = false;  // the body is whole
+};
+
+struct WorldOptions {
+  std::string program;
+  std::size_t core = 3, plain_edges = 1, stores = 3, engines = 3;
+  std::string more_settings;
+};
+
+class TierWorld {
+ public:
+  explicit TierWorld(const WorldOptions& options);
+  ~TierWorld();
+  TierWorld(const TierWorld&) = delete;
+  TierWorld& operator=(const TierWorld&) = delete;
+
+  // Nodes are core edges first, then the others, then the stores.
+  std::size_t nodes() const { return nodes_.size(); }
+  std::size_t edges() const { return options_.core + options_.plain_edges; }
+  std::size_t store(std::size_t i) const { return edges() + i; }
+  const std::string& name(std::size_t node) const { return nodes_.at(node).name; }
+  void start(std::size_t node, bool bootstrap = false);
+  void kill(std::size_t node);       // as by SIGKILL
+  void terminate(std::size_t node);  // SIGTERM; see exit_code()
+  int exit_code(std::size_t node);   // waits for the process to end
+  void wipe(std::size_t node);       // its disk; while it is down
+  std::string log(std::size_t node) const;
+
+  // One call; `timeout_ms` bounds it as a whole.
+  HttpResult call(const std::string& address, const std::string& method, const std::string& target,
+                  const HeaderList& headers, const std::string& body, int timeout_ms = 5000) const;
+  HttpResult client(std::size_t node, const std::string& method, const std::string& target,
+                    const HeaderList& headers, const std::string& body, int timeout_ms = 5000) const;
+  HttpResult control(std::size_t node, const std::string& method, const std::string& target,
+                     const HeaderList& headers, const std::string& body) const;
+  bool ready(std::size_t node) const;
+  // Sends an order to one node after the other until it is decided.
+  HttpResult order(const std::string& verb, std::uint64_t base, const std::string& body) const;
+
+  Engine& engine(std::size_t i) { return *engines_.at(i); }
+  Platform& platform() { return *platform_; }
+  // The list as it is when all engines are well.
+  std::vector<Platform::Entry> listed() const;
+
+ private:
+  struct Node {
+    std::string name, ip, role, folder;
+    bool has_disk = false;
+    int pid = 0;
+  };
+  std::string ip(std::size_t i) const;
+  void write_settings(const Node& node, bool bootstrap) const;
+
+  WorldOptions options_;
+  std::string folder_;
+  unsigned net_ = 0;
+  std::vector<Node> nodes_;
+  LoopThread loop_;
+  std::unique_ptr<Platform> platform_;
+  std::vector<std::unique_ptr<Engine>> engines_;
+};
+
+// Calls `done` until it is true or `limit_ms` has passed; each call is expected to wait on something itself.
+template <class Done>
+bool until(int limit_ms, Done&& done) {
+  const Millis end = steady_now() + limit_ms;
+  while (!done()) {
+    if (steady_now() >= end) return false;
+    std::this_thread::yield();
+  }
+  return true;
+}
+
+}  // namespace nettlestand::tier::standins
--- /dev/null
+++ b/tests/system/processes_test.cpp
@@ -0,0 +1,358 @@
+// Real processes of the program on loopback, with doubles of platform, engines, clients and operator.
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "standins/tier/tier_world.h"
+
+using namespace nettlestand::tier;
+using namespace nettlestand::tier::standins;
+
+namespace {
+
+constexpr int kLongMs = 20000;
+
+std::string route(const std::string& name, const std::string& more) {
+  return "{\"name\":\"" + name + "\",\"hostname\":\"h.example\",\"path_prefix\":\"/" + name +
+         "/\",\"service\":\"models\"," + "\"timeout_ms\":4000,\"target_latency_ms\":300," + more + "}";
+}
+
+std::string configuration(int generation,
+                          const std::string& tenants =
+                              "{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\"]},"
+                              "{\"name\":\"small\",\"api_keys\":[\"ks\"],\"rate_per_s\":2,\"burst\":2}") {
+  return "{\"generation\":" + std::to_string(generation) + ",\"routes\":[" +
+         route("once", "\"route_class\":\"streaming\",\"max_attempts\":1") + "," +
+         route("resume",
+               "\"route_class\":\"streaming\",\"max_attempts\":2,\"resumable\":true,\"gap_aim_ms\":150") +
+         "," + route("again", "\"route_class\":\"idempotent\",\"max_attempts\":2") + "," +
+         route("jobs",
+               "\"route_class\":\"batch\",\"max_attempts\":2,\"max_wait_s\":60,\"max_queued_tokens\":1000") +
+         "],\"services\":[{\"name\":\"models\"}],\"tenants\":[" + tenants + "]}";
+}
+
+HeaderList as(const std::string& key, const std::string& id) {
+  return {{"Host", "h.example"}, {"X-Api-Key", key}, {"X-Request-Id", id}, {"X-Deadline-Ms", "4000"}};
+}
+
+std::string job_of(int items, const std::string& prefix, int tokens = 10) {
+  std::string out = "{\"requests\":[";
+  for (int i = 0; i < items; ++i) {
+    out += std::string(i > 0 ? "," : "") + "{\"id\":\"" + prefix + std::to_string(i) +
+           "\",\"path\":\"/jobs/" + std::to_string(i) +
+           "\",\"headers\":{\"X-Model\":\"m\"},\"body\":\"aGVsbG8=\",\"tokens\":" + std::to_string(tokens) +
+           "}";
+  }
+  return out + "]}";
+}
+
+const std::string kWhole =
+    "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n";
+
+struct Tier {
+  TierWorld world;
+  explicit Tier(const std::string& more = "") : world(options(more)) {
+    REQUIRE(world.order("replace", 0, configuration(2)).status == 200);
+    REQUIRE(all_ready());
+  }
+  static WorldOptions options(const std::string& more) {
+    WorldOptions out;
+    out.program = PROGRAM;
+    out.more_settings = more;
+    return out;
+  }
+  bool all_ready() {
+    return until(kLongMs, [&] {
+      for (std::size_t i = 0; i < world.edges(); ++i) {
+        if (!world.ready(i)) return false;
+      }
+      return true;
+    });
+  }
+  std::size_t leader() {
+    std::size_t out = 99;
+    until(kLongMs, [&] {
+      for (std::size_t i = 0; i < 3; ++i) {
+        const std::string log = world.log(i);
+        const std::size_t started = log.rfind("started node");
+        const std::size_t won = log.rfind("leadership won group=0"),
+                          lost = log.rfind("leadership lost group=0");
+        if (won == std::string::npos || won < started || (lost != std::string::npos && lost > won)) continue;
+        out = i;
+        return true;
+      }
+      return false;
+    });
+    return out;
+  }
+  HttpResult ask(std::size_t node, const std::string& route, const std::string& id,
+                 const std::string& key = "k1") {
+    return world.client(node, "POST", "/" + route + "/x?y=1", as(key, id), "hello");
+  }
+  std::size_t runs_of(const std::string& id) {
+    std::size_t out = 0;
+    for (std::size_t i = 0; i < 3; ++i) {
+      for (const SeenRequest& seen : world.engine(i).seen()) out += seen.id == id ? 1 : 0;
+    }
+    return out;
+  }
+  // Reads a job's results from the start until all are there; one page after the other, at changing nodes.
+  bool read_all(const std::string& job, std::size_t total, std::string& pages) {
+    std::size_t node = 0;
+    return until(kLongMs, [&] {
+      HeaderList headers = as("k2", "read");
+      headers.emplace_back("X-Wait-Ms", "300");
+      do {
+        node = (node + 1) % world.edges();
+      } while (!world.ready(node));
+      pages = world.client(node, "GET", "/nettlestand/lots/" + job + "?start_after=0", headers, "").body;
+      return pages.find("\"next_token\":" + std::to_string(total)) != std::string::npos;
+    });
+  }
+};
+
+}  // namespace
+
+TEST_CASE("requests: routes, keys, quota, streams, repeats and what servers may see") {
+  Tier tier;
+  TierWorld& world = tier.world;
+  SECTION("answers are the server's, and the server sees the tenant in place of the key") {
+    const HttpResult answer = tier.ask(3, "once", "r1");
+    CHECK(answer.status == 200);
+    CHECK(answer.complete);
+    CHECK(answer.body == kWhole);
+    CHECK(answer.headers.at("x-response-signature") == "signature of r1");
+    std::set<std::string> tenants;
+    for (std::size_t i = 0; i < 3; ++i) {
+      for (const SeenRequest& seen : world.engine(i).seen()) {
+        CHECK(seen.target == "/once/x?y=1");
+        CHECK(seen.body == "hello");
+        CHECK(seen.api_key.empty());
+        tenants.insert(seen.tenant);
+      }
+    }
+    CHECK(tenants == std::set<std::string>{"t"});
+  }
+  SECTION("unknown routes and keys, and requests that are none") {
+    CHECK(tier.ask(0, "nowhere", "r2").status == 404);
+    CHECK(tier.ask(1, "once", "r3", "unknown").status == 401);
+    CHECK(world.client(2, "POST", "/once/x", {{"Host", "h.example"}, {"X-Api-Key", "k1"}}, "").status == 400);
+    CHECK(world.client(2, "P()ST", "/once/x", as("k1", "r4"), "").status == 400);
+    CHECK(
+        world.client(2, "POST", "/once/x", {{"Host", "h.example"}, {"X-Filler", std::string(70000, 'x')}}, "")
+            .status == 431);
+    CHECK(tier.ask(2, "once", "r5").status == 200);
+  }
+  SECTION("beyond its quota a tenant gets 429 with a time to come back, and others do not notice") {
+    int taken = 0, refused = 0;
+    for (int i = 0; i < 60; ++i) {
+      const HttpResult answer =
+          tier.ask(static_cast<std::size_t>(i) % 4, "once", "q" + std::to_string(i), "ks");
+      taken += answer.status == 200 ? 1 : 0;
+      if (answer.status != 429) continue;
+      ++refused;
+      CHECK(answer.headers.count("retry-after") == 1);
+    }
+    CHECK(refused > 0);
+    CHECK(taken <= static_cast<int>((2 * 5 + 2) * 1.1 + 20));
+    CHECK(tier.ask(0, "once", "other").status == 200);
+  }
+  SECTION("a stream that a server cuts within an event is continued elsewhere, each piece once") {
+    world.engine(0).set_mode(EngineMode::kCutInEvent);  // the one in the zone of edge 3
+    const HttpResult answer = tier.ask(3, "resume", "cut1");
+    CHECK(answer.status == 200);
+    CHECK(answer.complete);
+    CHECK(answer.body == kWhole);
+    CHECK(tier.runs_of("cut1") == 2);
+  }
+  SECTION("one that may not be repeated ends without looking complete, and runs once") {
+    for (std::size_t i = 0; i < 3; ++i) world.engine(i).set_mode(EngineMode::kCutInEvent);
+    const HttpResult answer = tier.ask(3, "once", "cut2");
+    CHECK_FALSE(answer.complete);
+    CHECK(tier.runs_of("cut2") == 1);
+  }
+  SECTION("what a server has not run goes to another; where none runs it, it is refused at once") {
+    world.engine(0).set_mode(EngineMode::kFull);
+    world.engine(1).set_mode(EngineMode::kFull);
+    CHECK(tier.ask(0, "once", "full1").status == 200);
+    world.engine(2).set_mode(EngineMode::kFull);
+    const HttpResult refused = tier.ask(1, "once", "full2");
+    CHECK(refused.status == 503);
+    CHECK(refused.headers.count("retry-after") == 1);
+    CHECK(tier.runs_of("full2") == 0);
+  }
+  SECTION("a server's own failure comes back unchanged, after the repeats that are allowed") {
+    for (std::size_t i = 0; i < 3; ++i) world.engine(i).set_mode(EngineMode::kError);
+    const HttpResult once = tier.ask(0, "once", "err1"), again = tier.ask(0, "again", "err2");
+    CHECK(once.status == 500);
+    CHECK(once.body == "broken");
+    CHECK(tier.runs_of("err1") == 1);
+    CHECK(again.status == 500);
+    CHECK(tier.runs_of("err2") == 2);
+  }
+  SECTION("another server at a known address does not run what is meant for the one before") {
+    for (std::size_t i = 0; i < 3; ++i) world.engine(i).set_instance("another");
+    CHECK(tier.ask(0, "once", "moved").status == 503);
+    CHECK(tier.runs_of("moved") == 0);
+  }
+  SECTION("a server that drains gets no more requests once the list shows it") {
+    std::vector<Platform::Entry> list = world.listed();
+    list[0].state = "draining";
+    list[1].state = "draining";
+    const std::size_t calls = world.platform().calls();
+    world.platform().set_servers(list);
+    REQUIRE(until(kLongMs, [&] { return world.platform().calls() >= calls + 12 && world.ready(0); }));
+    const std::size_t before = world.engine(0).runs() + world.engine(1).runs();
+    for (int i = 0; i < 40; ++i)
+      CHECK(tier.ask(static_cast<std::size_t>(i) % 4, "once", "d" + std::to_string(i)).status == 200);
+    CHECK(world.engine(0).runs() + world.engine(1).runs() == before);
+  }
+}
+
+TEST_CASE("orders: refused, raced, recognised and read back at any node") {
+  Tier tier;
+  TierWorld& world = tier.world;
+  CHECK(world.order("replace", 2, "{\"generation\":3").status == 400);
+  CHECK(world.order("replace", 9, configuration(10)).status == 412);
+  CHECK(world.order("replace", 2, configuration(2)).status == 400);
+  const std::string next = configuration(7, "{\"name\":\"t\",\"api_keys\":[\"k2\"]}");
+  CHECK(world.order("replace", 2, next).status == 200);
+  for (std::size_t node = 0; node < world.edges(); ++node) {
+    INFO("node " << node);
+    const HeaderList headers = {{"Host", "x"}, {"X-Base-Version", "2"}};
+    CHECK(world.control(node, "POST", "/nettlestand/config/replace", headers, next).status == 200);
+    CHECK(world.control(node, "GET", "/nettlestand/config/read", {{"Host", "x"}}, "").body == next);
+    // The key that was taken away is refused everywhere, the other one is not.
+    CHECK(
+        until(kLongMs, [&] { return tier.ask(node, "once", "gone" + std::to_string(node)).status == 401; }));
+    CHECK(tier.ask(node, "once", "kept" + std::to_string(node), "k2").status == 200);
+  }
+  CHECK(world.control(0, "POST", "/nettlestand/elsewhere", {{"Host", "x"}}, "").status == 404);
+}
+
+TEST_CASE("what was acknowledged outlives its leader, all processes at once, and a lost disk") {
+  Tier tier;
+  TierWorld& world = tier.world;
+  const std::string second = configuration(4), third = configuration(6), fourth = configuration(8);
+  REQUIRE(world.order("replace", 2, second).status == 200);
+  const std::size_t leader = tier.leader();
+  REQUIRE(leader < 3);
+  world.kill(leader);
+  CHECK(world.order("replace", 2, second).status == 200);  // its acknowledgement was lost, say
+  CHECK(world.order("replace", 4, third).status == 200);
+  for (std::size_t i = 0; i < world.nodes(); ++i) world.kill(i);
+  for (std::size_t i = 0; i < world.nodes(); ++i) world.start(i);
+  REQUIRE(tier.all_ready());
+  CHECK(world.control(3, "GET", "/nettlestand/config/read", {{"Host", "x"}}, "").body == third);
+  // A machine loses its disk, is taken in again, and then carries the group with one of the others gone.
+  const std::size_t wiped = (tier.leader() + 1) % 3;
+  world.kill(wiped);
+  world.wipe(wiped);
+  world.start(wiped);
+  REQUIRE(until(kLongMs, [&] {
+    std::string logs;
+    for (std::size_t i = 0; i < 3; ++i) logs += world.log(i);
+    return world.ready(wiped) && logs.find("members changed group=0 size=3") != std::string::npos;
+  }));
+  world.kill((wiped + 1) % 3);
+  CHECK(world.order("replace", 6, fourth).status == 200);
+  CHECK(world.control(wiped, "GET", "/nettlestand/config/read", {{"Host", "x"}}, "").body == fourth);
+}
+
+TEST_CASE("batch jobs: taken once, run, read alike everywhere, ended, and refused beyond their quota") {
+  Tier tier;
+  TierWorld& world = tier.world;
+  CHECK(world.client(0, "POST", "/jobs/x", as("k1", "bad"), "{\"requests\":[{\"id\":\"a\"}]}").status == 400);
+  CHECK(world.client(0, "POST", "/jobs/x", as("k1", "big"), job_of(11, "b", 100)).status == 429);
+  CHECK(world.client(0, "POST", "/jobs/x", as("k1", "job"), job_of(20, "a")).status == 202);
+  CHECK(world.client(2, "POST", "/jobs/x", as("k2", "job"), job_of(20, "a")).status == 202);
+  std::string pages;
+  REQUIRE(tier.read_all("job", 20, pages));
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = "\"id\":\"a" + std::to_string(i) + "\"";
+    const std::size_t at = pages.find(id);
+    REQUIRE(at != std::string::npos);
+    CHECK(pages.find(id, at + 1) == std::string::npos);
+    CHECK(tier.runs_of("a" + std::to_string(i)) == 1);
+  }
+  CHECK(pages.find("piece 1\\npiece 2\\npiece 3\\npiece 4") != std::string::npos);
+  CHECK(pages.find("dead_letter") == std::string::npos);
+  for (std::size_t node = 0; node < world.edges(); ++node) {
+    CHECK(world.client(node, "GET", "/nettlestand/lots/job?start_after=0", as("k1", "r"), "").body == pages);
+  }
+  CHECK(world.client(1, "GET", "/nettlestand/lots/unknown", as("k1", "r"), "").status == 404);
+  SECTION("items that no server can do are given up, a body is there until its item is listed") {
+    for (std::size_t i = 0; i < 3; ++i) world.engine(i).set_mode(EngineMode::kFull);
+    REQUIRE(world.client(0, "POST", "/jobs/x", as("k1", "sick"), job_of(3, "s")).status == 202);
+    CHECK(world.client(3, "GET", "/nettlestand/items/sick?id=s1", as("k1", "r"), "").body == "hello");
+    CHECK(world.client(3, "GET", "/nettlestand/items/sick?id=s9", as("k1", "r"), "").status == 404);
+    for (std::size_t i = 0; i < 3; ++i) world.engine(i).set_mode(EngineMode::kUnprocessable);
+    REQUIRE(tier.read_all("sick", 3, pages));
+    CHECK(pages.find("completed") == std::string::npos);
+    CHECK(world.client(3, "GET", "/nettlestand/items/sick?id=s1", as("k1", "r"), "").status == 404);
+  }
+  SECTION("an ended job is not run any more") {
+    for (std::size_t i = 0; i < 3; ++i) world.engine(i).set_mode(EngineMode::kFull);
+    REQUIRE(world.client(0, "POST", "/jobs/x", as("k1", "end"), job_of(5, "e")).status == 202);
+    CHECK(world.client(1, "DELETE", "/nettlestand/lots/end", as("k1", "r"), "").status == 200);
+    CHECK(world.client(2, "DELETE", "/nettlestand/lots/end", as("k1", "r"), "").status == 200);
+    for (std::size_t i = 0; i < 3; ++i) world.engine(i).set_mode(EngineMode::kStream);
+    REQUIRE(world.client(0, "POST", "/jobs/x", as("k1", "after"), job_of(5, "f")).status == 202);
+    REQUIRE(tier.read_all("after", 5, pages));
+    for (int i = 0; i < 5; ++i) CHECK(tier.runs_of("e" + std::to_string(i)) == 0);
+  }
+}
+
+TEST_CASE("a job goes on when its primary is killed, and when every store is killed at once") {
+  Tier tier;
+  TierWorld& world = tier.world;
+  for (std::size_t i = 0; i < 3; ++i) world.engine(i).set_pause_ms(60);
+  REQUIRE(world.client(0, "POST", "/jobs/x", as("k1", "long"), job_of(60, "l")).status == 202);
+  std::string page;
+  REQUIRE(until(kLongMs, [&] {
+    HeaderList headers = as("k1", "read");
+    headers.emplace_back("X-Wait-Ms", "200");
+    page = world.client(0, "GET", "/nettlestand/lots/long?start_after=0", headers, "").body;
+    return page.find("\"id\"") != std::string::npos;
+  }));
+  const std::size_t first = page.find("\"id\":\"l");
+  const std::string first_id = page.substr(first, page.find(',', first) - first);
+  SECTION("its primary") {
+    // Whichever that is: all three are killed in turn, each back before the next.
+    for (std::size_t i = 0; i < 3; ++i) {
+      world.kill(world.store(i));
+      std::string ignored;
+      HeaderList headers = as("k1", "read");
+      REQUIRE(until(kLongMs, [&] {
+        return world.client(1, "GET", "/nettlestand/lots/long?start_after=0", headers, "").status == 200;
+      }));
+      world.start(world.store(i));
+    }
+  }
+  SECTION("every store") {
+    for (std::size_t i = 0; i < 3; ++i) world.kill(world.store(i));
+    for (std::size_t i = 0; i < 3; ++i) world.start(world.store(i));
+  }
+  std::string pages;
+  REQUIRE(tier.read_all("long", 60, pages));
+  CHECK(pages.find(first_id) == pages.find("\"id\":\"l"));  // the first position is what it was
+  for (int i = 0; i < 60; ++i) {
+    const std::string id = "\"id\":\"l" + std::to_string(i) + "\"";
+    CHECK(pages.find(id, pages.find(id) + 1) == std::string::npos);
+  }
+}
+
+TEST_CASE(
+    "an edge that is told to stop finishes what it has, turns new callers away in time, and exits with 0") {
+  Tier tier("");
+  TierWorld& world = tier.world;
+  for (std::size_t i = 0; i < 3; ++i) world.engine(i).set_pause_ms(300);
+  HttpResult answer;
+  std::thread caller([&] { answer = tier.ask(3, "once", "slow"); });
+  REQUIRE(until(kLongMs, [&] { return tier.runs_of("slow") == 1; }));
+  world.terminate(3);
+  CHECK(until(kLongMs, [&] { return !world.ready(3); }));
+  CHECK(tier.ask(3, "once", "late").headers["connection"] == "close");
+  caller.join();
+  CHECK((answer.complete && answer.body == kWhole));
+  CHECK(world.exit_code(3) == 0);
+}
