--- a/src/routing/quota.cpp
+++ b/src/routing/quota.cpp
@@ -9,24 +9,26 @@
 constexpr double kHorizonSeconds = 0.6;  // a node holds tokens for so long at its present rate
 constexpr double kLeastHeld = 2;         // and so many at least
 constexpr double kMostHeldSeconds =
-    0.25;                                // of the tenant's whole rate, so that no node holds what others need
-constexpr double kRateSmoothing = 0.5;   // weight of the newest measure
-constexpr Millis kExhaustedMs = 120;     // a tenant at its limit is denied at once for so long
-constexpr double kDepthShare = 0.85;     // of what the bounds leave for a bucket's depth
-constexpr double kSuccessorShare = 0.3;  // of the depth that a succeeding owner starts with
-constexpr double kRefill = 1.04;         // x the rate: what is owed to a tenant is never short of rounding
-constexpr double kHeldSeconds = 0.3;     // of the rate that nodes hold together at most times
+    0.25;                               // of the tenant's whole rate, so that no node holds what others need
+constexpr double kRateSmoothing = 0.5;  // weight of the newest measure
+constexpr Millis kExhaustedMs = 120;    // a tenant at its limit is denied at once for so long
+constexpr double kDepthShare = 0.8;     // of what the bounds leave for a bucket's depth
+constexpr double kSuccessorShare =
+    0.1;                              // of the depth that a succeeding owner starts with: two fit in a window
+constexpr double kRefill = 1.04;      // x the rate: what is owed to a tenant is never short of rounding
+constexpr double kHeldSeconds = 0.3;  // of the rate that nodes hold together at most times
 constexpr double kFallbackDepthSeconds = 0.5;
 
 constexpr Millis kPollMs = 250;
 constexpr Millis kPollMsPerEdge = 10;
+constexpr Millis kMostPollMs = 900;   // several polls have to fit into a node's lease
 constexpr Millis kFallbackPolls = 3;  // so many without an answer
 constexpr Millis kMissingMarginMs = 150;
 
 }  // namespace
 
 Millis edge_poll_ms(std::size_t edges) {
-  return std::max(kPollMs, static_cast<Millis>(edges) * kPollMsPerEdge);
+  return std::clamp(static_cast<Millis>(edges) * kPollMsPerEdge, kPollMs, kMostPollMs);
 }
 Millis quota_fallback_ms(std::size_t edges) { return kFallbackPolls * edge_poll_ms(edges); }
 Millis quota_missing_ms(std::size_t edges) { return quota_fallback_ms(edges) - kMissingMarginMs; }
@@ -34,7 +36,7 @@
 double QuotaOwner::depth(const Tenant& tenant, std::size_t nodes) const {
   const double allowed =
       (tenant.rate_per_s * bounds_.window_s + tenant.burst) * (1 + bounds_.overage) + bounds_.slack;
-  const double held_by_nodes = tenant.rate_per_s * kHeldSeconds + static_cast<double>(nodes);
+  const double held_by_nodes = tenant.rate_per_s * kHeldSeconds + kLeastHeld * static_cast<double>(nodes);
   const double left = allowed - kRefill * tenant.rate_per_s * bounds_.window_s - held_by_nodes;
   return std::max(1.0, left * kDepthShare);
 }
--- a/tests/system/quota_test.cpp
+++ b/tests/system/quota_test.cpp
@@ -35,6 +35,7 @@
   std::deque<Millis> window;
   Played out;
   const auto length = static_cast<Millis>(kBounds.window_s * 1000);
+  const Millis swing_ms = faults ? 4000 : 40000;
   for (Millis now = 1000; now < 41000; now += 5) {
     if (faults && random() % 2000 == 0) owner = QuotaOwner(kBounds, true);
     if (faults && random() % 400 == 0)
@@ -53,8 +54,8 @@
             nodes);
       }
     }
-    // Uneven: the first nodes get more, and demand swings.
-    const double now_demand = demand * (now / 3000 % 2 == 0 ? 1.4 : 0.6);
+    // Uneven: the first nodes get more, and demand swings, so that buckets fill up before each flood.
+    const double now_demand = demand * (now / swing_ms % 2 == 0 ? 1.9 : 0.1);
     for (double due = now_demand * 0.005; due > 0; due -= 1) {
       if (due < 1 && static_cast<double>(random() % 1000) / 1000 > due) break;
       const std::size_t node = std::min(random() % nodes, random() % nodes);
@@ -76,7 +77,7 @@
 }  // namespace
 
 TEST_CASE("no window holds more than the bounds allow, whatever is cut off and whoever owns the quota") {
-  for (std::uint64_t seed = 1; seed <= 24; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     const double rate = seed % 3 == 0 ? 20 : seed % 3 == 1 ? 81 : 300;
     const double burst = seed % 2 == 0 ? rate : rate / 4;
     const std::size_t nodes = seed % 4 == 0 ? 30 : 10;
--- a/tests/system/storage_test.cpp
+++ b/tests/system/storage_test.cpp
@@ -1,10 +1,13 @@
 // The ring of segment files: what was synced is there after a start, whatever became of the rest.
+#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
 #include <filesystem>
 #include <fstream>
 #include <random>
 
 #include "control/journal.h"
+#include "control/replica_host.h"
 #include "storage/segment_ring.h"
 #include "temp_folder.h"
 
@@ -208,3 +211,47 @@
   CHECK(back.entries.size() == 2);
   CHECK((*journal)->take_stored(5).entries.empty());
 }
+
+namespace {
+
+class StateMachineMock : public GroupStateMachine {
+ public:
+  MAKE_MOCK2(apply, void(consensus::LogIndex, const std::string&), override);
+  MAKE_CONST_MOCK0(save, std::string(), override);
+  MAKE_MOCK1(load, void(const std::string&), override);
+};
+
+}  // namespace
+
+TEST_CASE("a group of one applies what it is told once in a life, and again after a restart") {
+  TempFolder folder;
+  boost::asio::io_context io;
+  Network network(io, "127.0.0.1:1", [](const std::string&, std::string_view) {});
+  const auto open = [&](StateMachineMock& machine, Millis now) {
+    auto journal = ControlJournal::open(folder.path(), 64, 5);
+    REQUIRE(journal.ok());
+    auto host = std::make_unique<ReplicaHost>(network, *std::move(journal));
+    host->add_group(0, &machine, now);
+    return host;
+  };
+  {
+    StateMachineMock machine;
+    auto host = open(machine, 0);
+    CHECK(host->is_blank());
+    consensus::Member self{};
+    self.id = host->disk_id();
+    host->replica(0).bootstrap({self});
+    host->tick(1000);
+    REQUIRE(host->replica(0).has_lease(1000));
+    REQUIRE_CALL(machine, apply(3U, "first"));
+    REQUIRE(host->replica(0).propose(1000, "first"));
+    host->drive(1000);
+  }
+  StateMachineMock machine;
+  auto host = open(machine, 2000);
+  CHECK_FALSE(host->is_blank());
+  REQUIRE_CALL(machine, apply(3U, "first"));
+  host->tick(5000);
+  host->tick(9000);
+  CHECK(host->replica(0).has_lease(9000));
+}
