Try silent servers by a new connection first, and wait a moment for the control state

Change: a server with failures, or silent for 2.5 x the usual first byte, gets the next call on a new connection only (what is not sent has not run); a request waits up to 250 ms for a fresh configuration before it is refused with Retry-After.

--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -104,13 +104,14 @@
                                             Progress& progress, AnswerSink& sink) {
   using Read = UpstreamConnection::Read;
   const Millis began = steady_now();
+  const bool suspect = pool_.is_suspect(began, server.id);
   pool_.on_sent(began, server.id, request.is_item);
   bool first_byte = false;
   const auto end = [&](CallEnd how) {
     pool_.on_end(steady_now(), server.id, how, request.is_item, first_byte);
     return sink.client_gone && !never_ran(how) ? CallEnd::kAbandoned : how;
   };
-  UpstreamPtr connection = co_await connections_->open(server.address, request.deadline);
+  UpstreamPtr connection = co_await connections_->open(server.address, request.deadline, suspect);
   if (!connection) co_return end(CallEnd::kNotSent);
   // The list and the configuration may have changed while the connection came up.
   const bool allowed = !request.may_send || request.may_send();
--- a/src/forwarding/server_pool.cpp
+++ b/src/forwarding/server_pool.cpp
@@ -10,7 +10,9 @@
 constexpr std::size_t kSubset = 8;  // servers at least: enough spread, few connections
 constexpr std::size_t kCover = 2;   // nodes that use each server, at least
 constexpr Millis kLeastPatienceMs = 300;
-constexpr double kPatienceTimes = 6;  // x the usual time to the first byte
+constexpr double kPatienceTimes = 6;   // x the usual time to the first byte
+constexpr double kSuspectTimes = 2.5;  // the same, before a silent server is looked at again
+constexpr Millis kLeastSuspectMs = 80;
 constexpr double kFirstByteGain = 0.05;
 constexpr int kFailuresToShun = 2;  // in a row
 constexpr Millis kShunMs = 700;     // doubled with each further failure
@@ -140,6 +142,17 @@
   return ChosenServer{chosen->told.id, chosen->told.address};
 }
 
+bool ServerPool::is_suspect(Millis now, const std::string& id) const {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return false;
+  const Server& server = found->second;
+  if (server.failures > 0) return true;
+  const auto view = services_.find(server.told.service);
+  if (server.silent == 0 || view == services_.end() || !view->second.measured) return false;
+  const auto usual = static_cast<Millis>(kSuspectTimes * view->second.first_byte_ms);
+  return server.last_byte + std::max(kLeastSuspectMs, usual) < now;
+}
+
 bool ServerPool::is_usable(const std::string& service, const std::string& id) const {
   const auto found = servers_.find(id);
   return found != servers_.end() && !found->second.told.draining && found->second.told.service == service;
--- a/src/forwarding/server_pool.h
+++ b/src/forwarding/server_pool.h
@@ -57,6 +57,9 @@
   // part of a server's slots to live calls, and few of them wait for their first byte at a time.
   std::optional<ChosenServer> pick(Millis now, const std::string& service,
                                    const std::vector<std::string>& tried, bool is_item);
+  // Whether a server may have fallen silent: the next call should first see whether a connection comes up,
+  // since what is not sent has not run and may go elsewhere.
+  bool is_suspect(Millis now, const std::string& id) const;
   // Whether the server still serves the service and is not draining: asked right before a send.
   bool is_usable(const std::string& service, const std::string& id) const;
 
--- a/src/forwarding/upstream.cpp
+++ b/src/forwarding/upstream.cpp
@@ -211,9 +211,9 @@
 UpstreamConnections::UpstreamConnections(asio::io_context& io) : io_(io) {}
 UpstreamConnections::~UpstreamConnections() = default;
 
-asio::awaitable<UpstreamPtr> UpstreamConnections::open(std::string address, Millis deadline) {
+asio::awaitable<UpstreamPtr> UpstreamConnections::open(std::string address, Millis deadline, bool fresh) {
   auto& idle = idle_[address];
-  while (!idle.empty()) {
+  while (!fresh && !idle.empty()) {
     std::shared_ptr<Connection> connection = std::move(idle.back());
     idle.pop_back();
     if (connection->looks_alive(steady_now())) co_return connection;
--- a/src/forwarding/upstream.h
+++ b/src/forwarding/upstream.h
@@ -50,8 +50,9 @@
  public:
   explicit UpstreamConnections(boost::asio::io_context& io);
   ~UpstreamConnections();
-  // A kept connection that looks alive, or a new one; null where none came about in time.
-  boost::asio::awaitable<UpstreamPtr> open(std::string address, Millis deadline);
+  // A kept connection that looks alive, or a new one (always a new one where `fresh`); null where none came
+  // about in time.
+  boost::asio::awaitable<UpstreamPtr> open(std::string address, Millis deadline, bool fresh);
   // Keeps a connection whose call is over for the next one, or closes it.
   void finish(const std::string& address, UpstreamPtr connection);
   void close_idle(Millis now);
--- a/src/node/live_front.cpp
+++ b/src/node/live_front.cpp
@@ -13,6 +13,8 @@
 constexpr Millis kDefaultDeadlineMs = 30000;  // where neither client nor route states one
 constexpr Millis kQuotaWaitMs = 120;          // for a grant, before a request counts as beyond its quota
 constexpr Millis kQuotaStepMs = 15;
+constexpr Millis kControlWaitMs = 250;  // for the control state to come back, before a request is refused
+constexpr Millis kControlStepMs = 25;
 // Clients come back few times, so they are told when it pays: servers free up soon, the control state within
 // a second or so, a quota over its window.
 const char* const kRetryServers = "0.25";
@@ -63,9 +65,8 @@
 
 asio::awaitable<void> LiveFront::handle(std::shared_ptr<HttpExchange> exchange) {
   const HttpRequest& request = exchange->request;
+  if (!co_await has_configuration()) co_return co_await refuse(exchange, 503, kRetryControl);
   const auto configuration = follower_.configuration();
-  if (!configuration || !follower_.is_fresh(steady_now()))
-    co_return co_await refuse(exchange, 503, kRetryControl);
   const bool job_call = BatchFront::is_job_path(request.path());
   const Route* route = job_call ? nullptr : configuration->find_route(request.host(), request.path());
   if (!job_call && route == nullptr) co_return co_await refuse(exchange, 404, nullptr);
@@ -89,6 +90,16 @@
   co_await serve(std::move(exchange), configuration, *route, std::move(caller));
 }
 
+asio::awaitable<bool> LiveFront::has_configuration() {
+  const Millis until = steady_now() + kControlWaitMs;
+  for (;;) {
+    const Millis now = steady_now();
+    if (follower_.configuration() && follower_.is_fresh(now)) co_return true;
+    if (now >= until) co_return false;
+    co_await sleep_for(io_, kControlStepMs);
+  }
+}
+
 asio::awaitable<bool> LiveFront::within_quota(const Tenant& tenant) {
   const Millis until = steady_now() + kQuotaWaitMs;
   for (;;) {
--- a/src/node/live_front.h
+++ b/src/node/live_front.h
@@ -28,6 +28,8 @@
     std::string key, tenant;
     const Tenant* account = nullptr;
   };
+  // Whether there is a fresh configuration; waits a moment for one, as after the start of everything.
+  boost::asio::awaitable<bool> has_configuration();
   boost::asio::awaitable<bool> within_quota(const Tenant& tenant);
   boost::asio::awaitable<void> serve(std::shared_ptr<HttpExchange> exchange,
                                      std::shared_ptr<const Configuration> configuration, const Route& route,
--- a/tests/system/forwarding_test.cpp
+++ b/tests/system/forwarding_test.cpp
@@ -208,3 +208,20 @@
     denied = denied || client.admit(30000 + call / 10, random) == ClientAdmission::Decision::kDeny;
   CHECK(denied);
 }
+
+TEST_CASE("a server that has fallen silent is suspect long before its calls end, and until it answers") {
+  ServerPool pool(5);
+  pool.set_servers({server("i1", "a"), server("i2", "a")});
+  pool.on_sent(0, "i1", false);
+  pool.on_first_byte(40, "i1", 40, false);
+  CHECK_FALSE(pool.is_suspect(40, "i1"));
+  pool.on_sent(1000, "i1", false);
+  CHECK_FALSE(pool.is_suspect(1090, "i1"));
+  CHECK(pool.is_suspect(1110, "i1"));
+  CHECK_FALSE(pool.is_suspect(1110, "i2"));
+  pool.on_end(1110, "i1", CallEnd::kTimedOut, false, false);
+  CHECK(pool.is_suspect(1111, "i1"));
+  pool.on_sent(1200, "i1", false);
+  pool.on_first_byte(1240, "i1", 40, false);
+  CHECK_FALSE(pool.is_suspect(1240, "i1"));
+}
