Let nodes hold less of a quota, measured over a span that can be measured

A node's rate was taken over as little as 50 ms, from polls of need: three requests in such a span are 60 a second, and ten nodes held up to a quarter of the tenant's rate each when the flood began, beside a full bucket and a succeeding owner (quota.cpp, QuotaLease::requests). Ruled out: fallback parts (the leader was away for less than their span), restarted nodes (no lease before the first answer).

Change: rates over 0.2 s at least, 0.4 s of them held, a tenth of the tenant's rate at most; depth 0.75.

--- a/src/routing/quota.cpp
+++ b/src/routing/quota.cpp
@@ -6,13 +6,13 @@
 namespace nettlestand::tier {
 namespace {
 
-constexpr double kHorizonSeconds = 0.6;  // a node holds tokens for so long at its present rate
-constexpr double kLeastHeld = 2;         // and so many at least
-constexpr double kMostHeldSeconds =
-    0.25;                               // of the tenant's whole rate, so that no node holds what others need
-constexpr double kRateSmoothing = 0.5;  // weight of the newest measure
-constexpr Millis kExhaustedMs = 120;    // a tenant at its limit is denied at once for so long
-constexpr double kDepthShare = 0.8;     // of what the bounds leave for a bucket's depth
+constexpr double kHorizonSeconds = 0.4;   // a node holds tokens for so long at its present rate
+constexpr double kLeastHeld = 2;          // and so many at least
+constexpr double kMostHeldSeconds = 0.1;  // of the tenant's whole rate: what a node holds, others may need
+constexpr double kMeasureSeconds = 0.2;   // least span for a rate: polls of need come closer together
+constexpr double kRateSmoothing = 0.5;    // weight of the newest measure
+constexpr Millis kExhaustedMs = 120;      // a tenant at its limit is denied at once for so long
+constexpr double kDepthShare = 0.75;      // of what the bounds leave for a bucket's depth
 constexpr double kSuccessorShare =
     0.1;                              // of the depth that a succeeding owner starts with: two fit in a window
 constexpr double kRefill = 1.04;      // x the rate: what is owed to a tenant is never short of rounding
@@ -95,11 +95,13 @@
   std::vector<TokenRequest> out;
   urgent_ = false;
   for (auto& [tenant, held] : held_) {
-    const double elapsed = std::max(0.05, static_cast<double>(now - held.measured) / 1000);
-    const double measured = static_cast<double>(held.seen) / std::min(elapsed, 5.0);
-    held.rate += kRateSmoothing * (measured - held.rate);
-    held.measured = now;
-    held.seen = 0;
+    const double elapsed = static_cast<double>(now - held.measured) / 1000;
+    if (elapsed >= kMeasureSeconds) {
+      const double measured = static_cast<double>(held.seen) / std::min(elapsed, 5.0);
+      held.rate += kRateSmoothing * (measured - held.rate);
+      held.measured = now;
+      held.seen = 0;
+    }
     const double most = std::max(kLeastHeld, held.limit * kMostHeldSeconds);
     const double needed = held.rate * kHorizonSeconds + kLeastHeld + static_cast<double>(held.waiting);
     const double target = std::ceil(std::min(needed, most));
