Let nodes hold no more quota together than a window leaves beside the rate

Change: the bound of what a node holds follows from what a window leaves and the number of nodes. Test: nodes 10 to 340, rates 30 to 330, idle and then a flood.

Measured: System.quota passes.

--- a/src/control/follower.cpp
+++ b/src/control/follower.cpp
@@ -20,7 +20,7 @@
 }
 
 ControlFollower::ControlFollower(Messenger& messenger, PartialView& view, FollowerSettings settings)
-    : messenger_(messenger), view_(view), settings_(settings) {}
+    : messenger_(messenger), view_(view), settings_(settings), quota_(settings.quota) {}
 
 std::string ControlFollower::some_core_node() {
   const std::vector<NodeInfo> core = view_.core();
--- a/src/control/follower.h
+++ b/src/control/follower.h
@@ -27,6 +27,7 @@
 struct FollowerSettings {
   Millis lease_ms = 4000;  // how long the configuration counts as fresh after the last poll that was answered
   bool is_store = false;
+  QuotaBounds quota;
 };
 
 class ControlFollower {
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -45,6 +45,7 @@
   const Millis revoke = static_cast<Millis>(settings.bounds.revoke_ms);
   FollowerSettings out;
   out.is_store = is_store;
+  out.quota = {settings.bounds.quota_window_s, settings.bounds.quota_overage, settings.bounds.quota_slack};
   out.lease_ms = settings.bounds.global_revocation ? std::max(revoke - kLeaseMarginMs, kLeastLeaseMs)
                                                    : kLocalKeysLeaseMs;
   return out;
--- a/src/routing/quota.cpp
+++ b/src/routing/quota.cpp
@@ -9,10 +9,13 @@
 constexpr double kHorizonSeconds = 0.4;   // a node holds tokens for so long at its present rate
 constexpr double kLeastHeld = 2;          // and so many at least
 constexpr double kMostHeldSeconds = 0.1;  // of the tenant's whole rate: what a node holds, others may need
-constexpr double kMeasureSeconds = 0.2;   // least span for a rate: polls of need come closer together
-constexpr double kRateSmoothing = 0.5;    // weight of the newest measure
-constexpr Millis kExhaustedMs = 120;      // a tenant at its limit is denied at once for so long
-constexpr double kDepthShare = 0.75;      // of what the bounds leave for a bucket's depth
+constexpr double kHeldShare = 0.6;        // of what is spare in a window: nodes hold no more together,
+constexpr double kMostHeldShare = 0.9;    // or this much, where it is one token each
+constexpr std::size_t kMostWaiting = 4;
+constexpr double kMeasureSeconds = 0.2;  // least span for a rate: polls of need come closer together
+constexpr double kRateSmoothing = 0.5;   // weight of the newest measure
+constexpr Millis kExhaustedMs = 120;     // a tenant at its limit is denied at once for so long
+constexpr double kDepthShare = 0.75;     // of what the bounds leave for a bucket's depth
 constexpr double kSuccessorShare =
     0.1;                              // of the depth that a succeeding owner starts with: two fit in a window
 constexpr double kRefill = 1.04;      // x the rate: what is owed to a tenant is never short of rounding
@@ -33,12 +36,24 @@
 Millis quota_fallback_ms(std::size_t edges) { return kFallbackPolls * edge_poll_ms(edges); }
 Millis quota_missing_ms(std::size_t edges) { return quota_fallback_ms(edges) - kMissingMarginMs; }
 
+double QuotaBounds::spare(const Tenant& tenant) const {
+  const double allowed = (tenant.rate_per_s * window_s + tenant.burst) * (1 + overage) + slack;
+  return allowed - kRefill * tenant.rate_per_s * window_s;
+}
+
+double QuotaBounds::most_held(const Tenant& tenant, std::size_t nodes) const {
+  const auto count = static_cast<double>(std::max<std::size_t>(nodes, 1));
+  const double wanted = std::ceil(std::max(kLeastHeld, tenant.rate_per_s * kMostHeldSeconds));
+  const double share = std::floor(kHeldShare * spare(tenant) / count);
+  const double least = count <= kMostHeldShare * spare(tenant) ? 1 : 0;
+  return std::clamp(share, least, std::max(wanted, least));
+}
+
 double QuotaOwner::depth(const Tenant& tenant, std::size_t nodes) const {
-  const double allowed =
-      (tenant.rate_per_s * bounds_.window_s + tenant.burst) * (1 + bounds_.overage) + bounds_.slack;
-  const double held_by_nodes = tenant.rate_per_s * kHeldSeconds + kLeastHeld * static_cast<double>(nodes);
-  const double left = allowed - kRefill * tenant.rate_per_s * bounds_.window_s - held_by_nodes;
-  return std::max(1.0, left * kDepthShare);
+  const auto count = static_cast<double>(nodes);
+  const double expected = tenant.rate_per_s * kHeldSeconds + kLeastHeld * count;
+  const double held_by_nodes = std::min(expected, bounds_.most_held(tenant, nodes) * count);
+  return std::max(1.0, (bounds_.spare(tenant) - held_by_nodes) * kDepthShare);
 }
 
 std::vector<TokenGrant> QuotaOwner::grant(Millis now, const Configuration& configuration, double reachable,
@@ -71,7 +86,7 @@
   if (tenant.rate_per_s <= 0) return Result::kTaken;
   Held& held = held_[tenant.name];
   ++held.seen;
-  held.limit = tenant.rate_per_s;
+  held.most = bounds_.most_held(tenant, edges_);
   const Millis fallback_from = heard_ + quota_fallback_ms(edges_);
   if (fallback_from < now) {
     const double rate = tenant.rate_per_s / static_cast<double>(std::max<std::size_t>(edges_, 1));
@@ -102,9 +117,9 @@
       held.measured = now;
       held.seen = 0;
     }
-    const double most = std::max(kLeastHeld, held.limit * kMostHeldSeconds);
-    const double needed = held.rate * kHorizonSeconds + kLeastHeld + static_cast<double>(held.waiting);
-    const double target = std::ceil(std::min(needed, most));
+    // Requests that wait take theirs at once, and so hold nothing.
+    const double unused = std::min(std::ceil(held.rate * kHorizonSeconds + kLeastHeld), held.most);
+    const double target = unused + static_cast<double>(std::min(held.waiting, kMostWaiting));
     held.waiting = 0;
     TokenRequest request{};
     request.tenant = tenant;
--- a/src/routing/quota.h
+++ b/src/routing/quota.h
@@ -26,6 +26,12 @@
   double window_s = 5;
   double overage = 0.1;
   double slack = 20;
+
+  // What a window allows beyond the steady rate, as tokens are refilled.
+  double spare(const Tenant& tenant) const;
+  // How many of a tenant's tokens one of so many nodes may hold unused: a sudden flood uses all of them at
+  // once, so together they have to fit into what is spare. 0: a node asks for each request.
+  double most_held(const Tenant& tenant, std::size_t nodes) const;
 };
 
 class QuotaOwner {
@@ -50,6 +56,7 @@
 class QuotaLease {
  public:
   enum class Result { kTaken, kWait, kDenied };
+  explicit QuotaLease(QuotaBounds bounds = {}) : bounds_(bounds) {}
   // kWait: a grant may come within moments.
   Result take(Millis now, const Tenant& tenant);
   // What to ask for, and to give back, with the next poll.
@@ -64,13 +71,14 @@
   struct Held {
     double tokens = 0;
     double rate = 0;       // requests per second, smoothed
-    double limit = 0;      // the tenant's rate over all nodes
+    double most = 0;       // that this node may hold unused
     std::size_t seen = 0;  // since the last request for tokens
     std::size_t waiting = 0;
     Millis measured = 0;
     Millis exhausted_until = 0;
     Millis fallback_at = 0;
   };
+  QuotaBounds bounds_;
   std::map<std::string, Held> held_;
   std::size_t edges_ = 1;
   Millis heard_ = 0;
--- a/tests/system/quota_test.cpp
+++ b/tests/system/quota_test.cpp
@@ -29,7 +29,7 @@
   std::mt19937_64 random(seed);
   const auto configuration = configuration_with(rate, burst);
   const Tenant& tenant = *configuration->tenant_named("t");
-  std::vector<QuotaLease> leases(nodes);
+  std::vector<QuotaLease> leases(nodes, QuotaLease(kBounds));
   std::vector<Millis> next_poll(nodes), heard(nodes, -100000), cut_until(nodes, -1);
   QuotaOwner owner(kBounds, false);
   std::deque<Millis> window;
@@ -105,6 +105,39 @@
   }
 }
 
+// Nodes fill up while a tenant asks for little; then a flood comes to all of them at once.
+TEST_CASE("what many nodes hold unused fits into a window beside the rate") {
+  const std::size_t nodes = GENERATE(10, 30, 81, 340);
+  const double rate = GENERATE(30.0, 56.0, 81.0, 330.0);
+  INFO("nodes " << nodes << " rate " << rate);
+  const auto configuration = configuration_with(rate, rate);
+  const Tenant& tenant = *configuration->tenant_named("t");
+  std::vector<QuotaLease> leases(nodes, QuotaLease(kBounds));
+  QuotaOwner owner(kBounds, false);
+  const auto poll = [&](Millis now, QuotaLease& lease) {
+    lease.on_grants(now, now, owner.grant(now, *configuration, 1, nodes, lease.requests(now)), nodes);
+  };
+  std::vector<int> waits(nodes);
+  const Millis flood = 30000, end = flood + static_cast<Millis>(kBounds.window_s * 1000);
+  double taken = 0;
+  for (Millis now = 1000; now < end; now += 25) {
+    for (std::size_t i = 0; i < nodes; ++i) {
+      const bool due = (now / 25 + static_cast<Millis>(i)) % (edge_poll_ms(nodes) / 25) == 0;
+      if (due || leases[i].is_urgent()) poll(now, leases[i]);
+      // One request in five seconds, which waits a moment for a token; then as many as there are tokens.
+      const bool asks = now >= flood || waits[i] > 0 || (now / 25 + static_cast<Millis>(i)) % 200 == 0;
+      if (!asks) continue;
+      const auto result = leases[i].take(now, tenant);
+      waits[i] = result == QuotaLease::Result::kWait && waits[i] < 5 ? waits[i] + 1 : 0;
+      if (now < flood || result != QuotaLease::Result::kTaken) continue;
+      do ++taken;
+      while (leases[i].take(now, tenant) == QuotaLease::Result::kTaken);
+    }
+  }
+  CHECK(taken <= allowed(rate, rate));
+  CHECK(taken >= 0.9 * rate * kBounds.window_s);
+}
+
 TEST_CASE("a tenant far over its limit gets nearly all of it") {
   const Played played = play(5, 81, 81, 600, 10, false);
   CHECK(static_cast<double>(played.taken) >= 0.97 * 81 * 40);
