--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -17,8 +17,8 @@
   SequencedOrder out{};
   out.sequence = sequence;
   out.order.base = sequence - 1;
-  out.order.body = "{\"generation\":" + std::to_string(sequence) +
-                   ",\"routes\":[],\"services\":[],\"tenants\":[]}";
+  out.order.body =
+      "{\"generation\":" + std::to_string(sequence) + ",\"routes\":[],\"services\":[],\"tenants\":[]}";
   return out;
 }
 
