--- a/src/forwarding/server_pool.h
+++ b/src/forwarding/server_pool.h
@@ -88,6 +88,7 @@
     int failures = 0;         // in a row
     Millis shunned_until = 0;
     int running = 0, waiting = 0, slots = 0;
+    int others = 0;  // calls of other nodes that it had when it told its load
     Millis load_at = kNever;
   };
   struct ServiceView {
