Share room for items among the stores that may have any, not by old reports

A report of 2 s ago says nothing of what others have sent since.

One store of fourteen that has all jobs so uses the whole room; where all stores have jobs nothing changes.

--- a/src/control/placement.cpp
+++ b/src/control/placement.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <set>
 
 namespace nettlestand::tier {
 namespace {
@@ -33,6 +34,17 @@
   return static_cast<std::uint32_t>(XXH64(tenant.data(), tenant.size(), 0) % kBatchShards);
 }
 
+std::size_t stores_with_jobs(const PlacementTable& table, const Configuration& configuration) {
+  std::set<std::uint32_t> shards;
+  for (const Tenant& tenant : configuration.tenants()) shards.insert(batch_shard_of(tenant.name));
+  if (shards.empty()) shards.insert(batch_shard_of(""));  // no tenants: all jobs are of nobody's
+  std::set<StoreId> primaries;
+  for (const ShardPlacement& row : table.shards) {
+    if (shards.contains(row.shard) && !row.members.empty()) primaries.insert(row.members.front());
+  }
+  return primaries.size();
+}
+
 std::string primary_address(const PlacementTable& table, const std::string& tenant) {
   const std::uint32_t shard = batch_shard_of(tenant);
   for (const ShardPlacement& row : table.shards) {
--- a/src/control/placement.h
+++ b/src/control/placement.h
@@ -25,6 +25,8 @@
 // The shard of a tenant's jobs: all of them stand together, so that their waiting tokens are counted in one
 // place.
 std::uint32_t batch_shard_of(const std::string& tenant);
+// How many stores may have items to run: the primaries of the shards of the tenants that there are.
+std::size_t stores_with_jobs(const PlacementTable& table, const Configuration& configuration);
 // Where the primary of a tenant's shard listens; empty where the table tells of none.
 std::string primary_address(const PlacementTable& table, const std::string& tenant);
 
--- a/src/forwarding/server_pool.cpp
+++ b/src/forwarding/server_pool.cpp
@@ -17,11 +17,10 @@
 constexpr int kFailuresToShun = 2;  // in a row
 constexpr Millis kShunMs = 700;     // doubled with each further failure
 constexpr Millis kMostShunMs = 3000;
-constexpr double kItemShare = 0.8;       // of a server's slots that items may fill
-constexpr Millis kLoadFreshMs = 400;     // what a server told of its load counts for so long
-constexpr Millis kOthersFreshMs = 2000;  // and what that says of the calls of other nodes
-constexpr int kSilentItems = 2;          // items at a server that wait for their first byte, from one node
-constexpr double kCrowdedShare = 0.7;    // of a server's slots
+constexpr double kItemShare = 0.8;     // of a server's slots that items may fill
+constexpr Millis kLoadFreshMs = 400;   // what a server told of its load counts for so long
+constexpr int kSilentItems = 2;        // items at a server that wait for their first byte, from one node
+constexpr double kCrowdedShare = 0.7;  // of a server's slots
 
 // Admission: a project's defaults round the source's design.
 constexpr double kBucketSeconds = 0.1;
@@ -105,8 +104,9 @@
   if (server.silent_items >= kSilentItems) return false;
   if (server.slots <= 0) return true;
   const double room = kItemShare * server.slots;
-  if (server.load_at + kOthersFreshMs >= now) return server.others + server.in_flight < room;
-  return server.items < std::max(1, static_cast<int>(room / static_cast<double>(overall_.count)));
+  const bool told = server.load_at + kLoadFreshMs >= now;
+  if (told) return server.running + server.waiting + server.sent_since_load < room;
+  return server.items < std::max(1, static_cast<int>(room / static_cast<double>(item_nodes_)));
 }
 
 bool ServerPool::is_crowded(Millis now, const Server& server) const {
@@ -223,7 +223,6 @@
   server.running = running;
   server.waiting = waiting;
   if (slots > 0) server.slots = slots;
-  server.others = std::max(0, running + waiting - server.in_flight);
   server.load_at = now;
   server.sent_since_load = 0;
 }
--- a/src/forwarding/server_pool.h
+++ b/src/forwarding/server_pool.h
@@ -2,6 +2,7 @@
 // Decides only; the host tells what became of each call.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -50,6 +51,8 @@
   };
   // This node's place among all of its class, and among those of its zone.
   void set_position(Position overall, Position in_zone);
+  // Among how many nodes the room for items is shared out where servers have not told their load just now.
+  void set_item_nodes(std::size_t count) { item_nodes_ = std::max<std::size_t>(count, 1); }
   // Calls stay in this zone as long as its servers have room. Empty: zones make no difference.
   void set_zone(std::string zone) { zone_ = std::move(zone); }
 
@@ -88,7 +91,6 @@
     int failures = 0;         // in a row
     Millis shunned_until = 0;
     int running = 0, waiting = 0, slots = 0;
-    int others = 0;  // calls of other nodes that it had when it told its load
     Millis load_at = kNever;
   };
   struct ServiceView {
@@ -111,6 +113,7 @@
   std::unordered_map<std::string, Server> servers_;
   std::map<std::string, ServiceView> services_;
   Position overall_, in_zone_;
+  std::size_t item_nodes_ = 1;
   std::string zone_;
 };
 
--- a/src/node/node_program.cpp
+++ b/src/node/node_program.cpp
@@ -138,6 +138,9 @@
   const ControlFollower& follower = core_->follower();
   forwarder_->pool().set_position({follower.index(), follower.count()},
                                   {follower.zone_index(), follower.zone_count()});
+  if (role_ != NodeRole::kStore || !follower.configuration()) return;
+  const PlacementTable& placement = follower.state().placement();
+  forwarder_->pool().set_item_nodes(stores_with_jobs(placement, *follower.configuration()));
 }
 
 void NodeProgram::start_fronts() {
--- a/tests/system/batch_test.cpp
+++ b/tests/system/batch_test.cpp
@@ -514,6 +514,30 @@
   CHECK(refused);
 }
 
+TEST_CASE("the stores that may have jobs are the primaries of the tenants' shards") {
+  PlacementTable table{};
+  for (std::uint32_t shard = 0; shard < kBatchShards; ++shard) {
+    ShardPlacement row{};
+    row.shard = shard;
+    row.members = {100 + shard % 14};
+    table.shards.push_back(row);
+  }
+  const auto stores_for = [&](const std::string& tenants) {
+    const auto parsed = Configuration::parse("{\"generation\":1,\"routes\":[],\"services\":[],\"tenants\":[" +
+                                             tenants + "]}");
+    REQUIRE(parsed.ok());
+    return stores_with_jobs(table, **parsed);
+  };
+  CHECK(stores_for("") == 1);
+  CHECK(stores_for("{\"name\":\"a\",\"api_keys\":[\"k\"]}") == 1);
+  std::string many;
+  for (int i = 0; i < 200; ++i) {
+    const std::string n = std::to_string(i);
+    many += std::string(i > 0 ? "," : "") + "{\"name\":\"t" + n + "\",\"api_keys\":[\"k" + n + "\"]}";
+  }
+  CHECK(stores_for(many) == 14);
+}
+
 TEST_CASE("with no member alive nobody takes over") {
   Master master;
   master.settle({1, 2, 3}, 4000);
