Log each start of an item, and one whose body is not the one that came with its job

A digest of each body is taken when its job enters the table and compared at each start; a mismatch is logged with job, item, number of the start, epoch and tenure.

--- a/src/batch/item_runner.cpp
+++ b/src/batch/item_runner.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "forwarding/event_stream.h"
+#include "node/log.h"
 
 namespace nettlestand::tier {
 namespace {
@@ -115,6 +116,17 @@
   job_state.again.erase(item);
   if (item == job_state.next) ++job_state.next;
   ItemState& state = job_state.items[item];
+  const PrimaryTerm term = hooks_.term(key);
+  ++state.starts;
+  const bool has_body = job.has_body(item);
+  NETTLESTAND_DEBUG("item started job=" << key.id << " item=" << job.spec.items[item].id
+                                        << " start=" << state.starts << " epoch=" << term.epoch
+                                        << " tenure=" << term.tenure);
+  if (!has_body) {
+    NETTLESTAND_WARNING("item body changed job=" << key.id << " item=" << job.spec.items[item].id
+                                                 << " start=" << state.starts << " epoch=" << term.epoch
+                                                 << " tenure=" << term.tenure);
+  }
   state.running = true;
   ++running_;
   const JobItem& spec = job.spec.items[item];
--- a/src/batch/item_runner.h
+++ b/src/batch/item_runner.h
@@ -28,6 +28,7 @@
   struct ItemState {
     bool running = false, finished = false;
     int failures = 0;
+    std::uint32_t starts = 0;
     Millis retry_at = 0;
     std::uint64_t last_event = 0;
     bool has_event = false;
--- a/src/batch/job_runner.h
+++ b/src/batch/job_runner.h
@@ -1,18 +1,26 @@
 // Runs the items of the jobs that a store is the primary of, and reports their results.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 
 #include "batch/job_table.h"
 
 namespace nettlestand::tier {
 
+// A store's time as the primary of a job's shard, for logs.
+struct PrimaryTerm {
+  std::uint64_t epoch = 0;   // of the shard's placement
+  std::uint64_t tenure = 0;  // how often this process has become a primary
+};
+
 class JobRunner {
  public:
   struct Hooks {
     // Whether this store is the job's primary, for certain, and the job is open.
     std::function<bool(Millis now, const JobKey&)> may_run;
     std::function<void(Millis now, const JobKey&, JobResult)> done;
+    std::function<PrimaryTerm(const JobKey&)> term;
   };
 
   virtual ~JobRunner() = default;
--- a/src/batch/job_table.cpp
+++ b/src/batch/job_table.cpp
@@ -12,8 +12,14 @@
   return XXH64(bytes.data(), bytes.size(), chain);
 }
 
+std::uint64_t digest_of(const std::string& body) { return XXH64(body.data(), body.size(), 0); }
+
 }  // namespace
 
+bool Job::has_body(std::uint32_t item) const {
+  return digest_of(spec.items[item].body) == body_digests[item];
+}
+
 JobKey key_of(const JobChange& change) { return {change.tenant, change.job}; }
 
 void JobTable::apply(Millis now, const JobChange& change) {
@@ -28,7 +34,10 @@
     job.spec = change.spec.front();
     job.listed.assign(job.spec.items.size(), false);
     job.accepted_at = found == jobs_.end() ? now : found->second.accepted_at;
-    for (const JobItem& item : job.spec.items) job.waiting_tokens += item.tokens;
+    for (const JobItem& item : job.spec.items) {
+      job.waiting_tokens += item.tokens;
+      job.body_digests.push_back(digest_of(item.body));
+    }
     found = jobs_.insert_or_assign(key, std::move(job)).first;
   }
   if (found == jobs_.end()) return;
--- a/src/batch/job_table.h
+++ b/src/batch/job_table.h
@@ -19,14 +19,17 @@
 
 struct Job {
   JobSpec spec{};
-  std::vector<JobResult> results;   // by position
-  std::vector<bool> listed;         // items that have a result
-  std::uint64_t chain = 0;          // of the results so far: equal chains mean equal results
-  bool ended = false;               // by its client
-  Millis accepted_at = 0;           // in this life of the process
-  std::int64_t waiting_tokens = 0;  // of items without a result
+  std::vector<JobResult> results;           // by position
+  std::vector<bool> listed;                 // items that have a result
+  std::vector<std::uint64_t> body_digests;  // of the items' bodies as the job came here
+  std::uint64_t chain = 0;                  // of the results so far: equal chains mean equal results
+  bool ended = false;                       // by its client
+  Millis accepted_at = 0;                   // in this life of the process
+  std::int64_t waiting_tokens = 0;          // of items without a result
 
   bool complete() const { return results.size() == spec.items.size(); }
+  // Whether an item's body is still the one that came with the job: it is given up once the item is listed.
+  bool has_body(std::uint32_t item) const;
 };
 
 class JobTable {
--- a/src/batch/store_service.cpp
+++ b/src/batch/store_service.cpp
@@ -70,6 +70,7 @@
   hooks.done = [this](Millis now, const JobKey& key, JobResult result) {
     add_result(now, key, std::move(result));
   };
+  hooks.term = [this](const JobKey& key) { return term_of(key); };
   runner_ = runner(*disk_.table, std::move(hooks));
 }
 
@@ -82,6 +83,12 @@
   return found == tenures_.end() ? nullptr : &found->second.primary;
 }
 
+PrimaryTerm StoreService::term_of(const JobKey& key) const {
+  const auto found = tenures_.find(batch_shard_of(key.tenant));
+  if (found == tenures_.end()) return {};
+  return {found->second.primary.epoch(), found->second.number};
+}
+
 bool StoreService::is_certain(Millis now, const JobKey& key) {
   const ShardPrimary* primary = primary_of(key);
   return primary != nullptr && primary->ready() && follower_.has_primary_lease(now);
--- a/src/batch/store_service.h
+++ b/src/batch/store_service.h
@@ -60,6 +60,7 @@
     Millis until = 0;
   };
   ShardPrimary* primary_of(const JobKey& key);
+  PrimaryTerm term_of(const JobKey& key) const;
   // Whether this store may answer for a job: it is the shard's primary by a lease, and has all copies in
   // line.
   bool is_certain(Millis now, const JobKey& key);
