Add a failing test: a listed item reaches a server again, with an empty body

Two ways, both on the shipped store, runner and forwarder: the job's end on its way behind its results, and a demotion before a started item was sent. The scripted server of the wire tests moves to a header of its own.

--- /dev/null
+++ b/tests/system/item_test.cpp
@@ -0,0 +1,358 @@
+// Items of batch jobs on their way to servers: a store with its disk, its copy's answers given by the test,
+// and servers that show what has reached them.
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <mutex>
+#include <optional>
+
+#include "batch/item_runner.h"
+#include "batch/store_service.h"
+#include "recording_messenger.h"
+#include "scripted_server.h"
+#include "temp_folder.h"
+
+using namespace nettlestand::tier;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr StoreId kCopyDisk = 8, kStrangerDisk = 7;
+const std::string kLeader = "10.0.0.1:7000", kEdge = "10.0.0.2:7000", kCopy = "10.0.0.8:7000",
+                  kStranger = "10.0.0.7:7000";
+const std::string kTenant = "t", kBody = "the body of an item";
+
+const std::string kConfiguration =
+    "{\"generation\":1,\"services\":[{\"name\":\"s\"}],\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"]}],"
+    "\"routes\":[{\"name\":\"jobs\",\"hostname\":\"h\",\"path_prefix\":\"/jobs/\",\"service\":\"s\","
+    "\"timeout_ms\":4000,\"target_latency_ms\":300,\"route_class\":\"batch\",\"max_attempts\":2,"
+    "\"max_wait_s\":600}]}";
+
+// A request as a server has got it.
+struct Arrived {
+  std::string id, head, body;
+};
+
+// Takes items and answers with one event, or turns them away.
+class ItemServer {
+ public:
+  ItemServer() : server_([this](int fd, int, const std::string& request) { return serve(fd, request); }) {}
+  void set_full(bool full) { full_ = full; }
+  std::string address() const { return server_.address(); }
+  std::vector<Arrived> arrived() const {
+    const std::lock_guard lock(mutex_);
+    return arrived_;
+  }
+
+ private:
+  bool serve(int fd, const std::string& request) {
+    const std::size_t head = request.find("\r\n\r\n") + 4;
+    const std::string id = id_of(request);
+    {
+      const std::lock_guard lock(mutex_);
+      arrived_.push_back({id, request.substr(0, head), request.substr(head)});
+    }
+    const std::string named = "X-Request-Id: " + id + "\r\n";
+    if (full_) {
+      send_all(fd, "HTTP/1.1 503 Full\r\n" + named + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+      return true;
+    }
+    const std::string event = "id: 1\ndata: done\n\n";
+    send_all(fd, "HTTP/1.1 200 OK\r\n" + named + "Content-Type: text/event-stream\r\nContent-Length: " +
+                     std::to_string(event.size()) + "\r\n\r\n" + event);
+    return true;
+  }
+
+  mutable std::mutex mutex_;
+  std::vector<Arrived> arrived_;
+  std::atomic<bool> full_{false};
+  ScriptedServer server_;
+};
+
+JobSpec job_of(const std::string& id, std::size_t items) {
+  JobSpec out{};
+  out.id = id;
+  out.tenant = kTenant;
+  out.route = "jobs";
+  out.host = "h";
+  for (std::size_t i = 0; i < items; ++i) {
+    JobItem item{};
+    item.id = id + "-" + std::to_string(i);
+    item.path = "/jobs/x";
+    item.body = kBody;
+    item.tokens = 1;
+    out.items.push_back(item);
+  }
+  return out;
+}
+
+// A store that is the primary of the tenant's shard, with one copy.
+class Store {
+ public:
+  explicit Store(ItemServer& server)
+      : view_(NodeInfo{}, {}, 1),
+        content_(1e9),
+        follower_(messenger_, view_, content_, store_follower()),
+        forwarder_(io_, 3) {
+    settings_.fault_tolerance.machines = 1;
+    settings_.bounds.status_s = 600;
+    settings_.limits.disk_mb = 64;
+    list_server(server);
+    service_.emplace(
+        messenger_, follower_, settings_, open_disk(), [this](const JobTable& table, JobRunner::Hooks hooks) {
+          return std::make_unique<ItemRunner>(io_, forwarder_, follower_, table, std::move(hooks));
+        });
+    take_configuration();
+    place({service_->disk_id(), kCopyDisk});
+  }
+
+  StoreService& service() { return *service_; }
+
+  // Tells the store where the shard is kept, with a lease from now on.
+  void place(const std::vector<StoreId>& members) {
+    table_.sequence += 1;
+    table_.stores = {record(service_->disk_id(), "10.0.0.9:7000"), record(kCopyDisk, kCopy),
+                     record(kStrangerDisk, kStranger)};
+    ShardPlacement row{};
+    row.shard = batch_shard_of(kTenant);
+    row.epoch = table_.sequence;
+    row.members = members;
+    table_.shards = {row};
+    hear_leader();
+    service_->on_placement(steady_now());
+  }
+  std::uint64_t epoch() const { return table_.sequence; }
+
+  // Submits a job and has it accepted.
+  void submit(const JobSpec& spec) {
+    JobCall call{};
+    call.call = ++calls_;
+    call.kind = JobCallKind::kSubmit;
+    call.tenant = kTenant;
+    call.job = spec.id;
+    call.spec.push_back(spec);
+    hear_leader();
+    service_->on_job_call(steady_now(), kEdge, call);
+    answer_as_copy();
+    REQUIRE(reply_to(call.call).status == 202);
+  }
+  // Asks for a job's end; its outcome is left open.
+  void ask_end(const std::string& job) {
+    JobCall call{};
+    call.call = ++calls_;
+    call.kind = JobCallKind::kEnd;
+    call.tenant = kTenant;
+    call.job = job;
+    hear_leader();
+    service_->on_job_call(steady_now(), kEdge, call);
+  }
+  std::string read(const std::string& job) {
+    JobCall call{};
+    call.call = ++calls_;
+    call.kind = JobCallKind::kRead;
+    call.tenant = kTenant;
+    call.job = job;
+    hear_leader();
+    service_->on_job_call(steady_now(), kEdge, call);
+    return reply_to(call.call).body;
+  }
+  bool has_result(const std::string& job, const std::string& item) {
+    return read(job).find("\"id\":\"" + item + "\"") != std::string::npos;
+  }
+
+  // As the copy: answers what was sent to it, until nothing more is. `later` is added to the store's clock.
+  void answer_as_copy(Millis later = 0) {
+    for (;;) {
+      const auto sent = messenger_.take<Replicate>(MessageType::kReplicate);
+      if (sent.empty()) return;
+      for (const auto& [to, message] : sent) {
+        ReplicateReply reply{};
+        reply.shard = message.shard;
+        reply.epoch = message.epoch;
+        reply.batch = message.batch;
+        reply.from = kCopyDisk;
+        reply.accepted = true;
+        reply.has_digest = message.digest_wanted;
+        if (reply.has_digest) reply.digest = digests_;
+        service_->on_replicate_reply(steady_now() + later, reply);
+      }
+    }
+  }
+  // As the one message of the copy that answers what was sent first.
+  void answer_first_as_copy(Millis later) {
+    const auto sent = messenger_.take<Replicate>(MessageType::kReplicate);
+    REQUIRE_FALSE(sent.empty());
+    ReplicateReply reply{};
+    reply.shard = sent.front().second.shard;
+    reply.epoch = sent.front().second.epoch;
+    reply.batch = sent.front().second.batch;
+    reply.from = kCopyDisk;
+    reply.accepted = true;
+    service_->on_replicate_reply(steady_now() + later, reply);
+  }
+  // What the copy tells that it holds, once it is asked anew.
+  void set_copy_holds(const std::vector<JobDigest>& digests) { digests_ = digests; }
+  // A change that another primary sends to this store.
+  void replicate_from(const std::string& primary, const JobChange& change) {
+    Replicate message{};
+    message.shard = batch_shard_of(kTenant);
+    message.epoch = epoch();
+    message.to = service_->disk_id();
+    message.batch = 1;
+    message.changes.push_back(change);
+    service_->on_replicate(primary, message);
+  }
+
+  void tick(Millis later = 0) {
+    hear_leader(later);
+    service_->tick(steady_now() + later);
+  }
+  // Runs what has been started to its end.
+  void settle() {
+    io_.restart();
+    io_.run_for(std::chrono::milliseconds(kPatienceMs));
+    REQUIRE(io_.stopped());
+  }
+  // Whether something was sent that the copy has not answered.
+  bool waits_for_copy() const {
+    return std::any_of(messenger_.sent.begin(), messenger_.sent.end(),
+                       [](const RecordingMessenger::Sent& each) {
+                         return each.message.front() == static_cast<char>(MessageType::kReplicate);
+                       });
+  }
+
+  void hear_leader(Millis later = 0) {
+    PollReply reply{};
+    reply.from_leader = true;
+    reply.sent_at = steady_now() + later;
+    reply.config = content_id_of(1, kConfiguration);
+    reply.placement_sequence = table_.sequence;
+    reply.placement.push_back(table_);
+    follower_.on_reply(steady_now(), kLeader, reply);
+  }
+
+ private:
+  static FollowerSettings store_follower() {
+    FollowerSettings out;
+    out.is_store = true;
+    return out;
+  }
+  static StoreRecord record(StoreId id, const std::string& address) {
+    StoreRecord out{};
+    out.id = id;
+    out.name = "store-" + std::to_string(id);
+    out.address = address;
+    return out;
+  }
+  StoreDisk open_disk() {
+    JobJournal::Options options;
+    options.directory = folder_.path();
+    StoreDisk disk;
+    disk.table = std::make_unique<JobTable>();
+    auto journal = JobJournal::open(options, 55, *disk.table, steady_now());
+    REQUIRE(journal.ok());
+    disk.journal = *std::move(journal);
+    disk.queue = std::make_unique<storage::InlineDiskQueue>(
+        [raw = disk.journal.get()] { return raw->sync(); }, [] { return steady_now(); });
+    return disk;
+  }
+  void list_server(const ItemServer& server) {
+    ListedServer listed{};
+    listed.id = "i-1";
+    listed.service = "s";
+    listed.address = server.address();
+    listed.slots = 64;
+    forwarder_.pool().set_servers({listed});
+    forwarder_.pool().set_position({0, 1}, {0, 1});
+  }
+  void take_configuration() {
+    hear_leader();
+    ContentReply content{};
+    content.id = content_id_of(1, kConfiguration);
+    content.total = kConfiguration.size();
+    content.bytes = kConfiguration;
+    follower_.on_content(steady_now(), kLeader, content);
+    REQUIRE(follower_.is_fresh(steady_now()));
+  }
+  JobReply reply_to(std::uint64_t call) {
+    for (const auto& [to, reply] : messenger_.take<JobReply>(MessageType::kJobReply)) {
+      if (reply.call == call) return reply;
+    }
+    return JobReply{};
+  }
+
+  TempFolder folder_;
+  asio::io_context io_;
+  RecordingMessenger messenger_;
+  PartialView view_;
+  ContentServer content_;
+  ControlFollower follower_;
+  Forwarder forwarder_;
+  Settings settings_{};
+  PlacementTable table_{};
+  std::vector<JobDigest> digests_;
+  std::optional<StoreService> service_;
+  std::uint64_t calls_ = 0;
+};
+
+constexpr Millis kPastRetryMs = 200;  // by then an item that was turned away may be offered again
+
+}  // namespace
+
+TEST_CASE("a listed item is not sent again while the end of its job is on its way") {
+  ItemServer server;
+  Store store(server);
+  store.answer_as_copy();
+  store.submit(job_of("j", 2));
+  store.settle();
+  REQUIRE(server.arrived().size() == 2);
+  // The first result is written here, the second waits behind it; the copy is silent, and the client ends the
+  // job.
+  REQUIRE(store.waits_for_copy());
+  store.ask_end("j");
+  server.set_full(true);
+  store.tick();
+  store.settle();
+  // The copy answers for the first result alone: its item is listed, and the job not ended yet.
+  store.answer_first_as_copy(kPastRetryMs);
+  store.settle();
+  store.answer_as_copy();
+  CHECK(store.read("j").find("done") != std::string::npos);
+  for (const Arrived& each : server.arrived()) CHECK(each.body == kBody);
+}
+
+TEST_CASE(
+    "an item that its store has not begun to send when it is demoted is not sent once another has listed "
+    "it") {
+  ItemServer server;
+  Store store(server);
+  store.answer_as_copy();
+  store.submit(job_of("j", 2));  // its items are started, and no send has begun
+  store.place({kStrangerDisk, store.service().disk_id()});
+  store.settle();
+  REQUIRE(server.arrived().empty());
+  JobChange listed{};
+  listed.tenant = kTenant;
+  listed.job = "j";
+  JobResult result{};
+  result.text = "elsewhere";
+  listed.results.push_back(result);
+  store.replicate_from(kStranger, listed);
+  JobTable elsewhere;
+  JobChange taken{};
+  taken.tenant = kTenant;
+  taken.job = "j";
+  taken.spec.push_back(job_of("j", 2));
+  elsewhere.apply(1, taken);
+  elsewhere.apply(1, listed);
+  store.set_copy_holds({elsewhere.digest({kTenant, "j"})});
+  store.place({store.service().disk_id(), kCopyDisk});
+  store.answer_as_copy();
+  store.tick(kPastRetryMs);
+  store.settle();
+  store.answer_as_copy();
+  CHECK(store.read("j").find("elsewhere") != std::string::npos);
+  REQUIRE(server.arrived().size() == 1);
+  CHECK(server.arrived().front().id == "j-1");
+  CHECK(server.arrived().front().body == kBody);
+}
--- a/tests/system/wire_test.cpp
+++ b/tests/system/wire_test.cpp
@@ -1,11 +1,5 @@
 // Answers and their requests on sockets: servers that answer twice, late, without an id or with another's, in
 // part, or not at all; clients that send ahead, close and reset.
-#include <arpa/inet.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -19,126 +13,13 @@
 
 #include "forwarding/forwarder.h"
 #include "node/http_server.h"
+#include "scripted_server.h"
 
 using namespace nettlestand::tier;
 namespace asio = boost::asio;
 
 namespace {
 
-constexpr int kPatienceMs = 10000;
-
-sockaddr_in loopback(std::uint16_t port) {
-  sockaddr_in out{};
-  out.sin_family = AF_INET;
-  out.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  out.sin_port = htons(port);
-  return out;
-}
-
-std::uint16_t bound_port(int fd) {
-  sockaddr_in address{};
-  socklen_t size = sizeof(address);
-  REQUIRE(::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0);
-  return ntohs(address.sin_port);
-}
-
-// Reads until a whole request, or an answer with a length, is there; empty at the end of the stream.
-std::string read_message(int fd, std::string& rest) {
-  for (;;) {
-    const std::size_t head = rest.find("\r\n\r\n");
-    if (head != std::string::npos) {
-      std::size_t length = 0;
-      const std::size_t field = rest.find("Content-Length: ");
-      if (field < head) length = std::stoul(rest.substr(field + 16));
-      const std::size_t size = head + 4 + length;
-      if (rest.size() >= size) {
-        std::string out = rest.substr(0, size);
-        rest.erase(0, size);
-        return out;
-      }
-    }
-    pollfd wait{fd, POLLIN, 0};
-    if (::poll(&wait, 1, kPatienceMs) <= 0) return {};
-    char bytes[4096];
-    const ssize_t got = ::recv(fd, bytes, sizeof(bytes), 0);
-    if (got <= 0) return {};
-    rest.append(bytes, static_cast<std::size_t>(got));
-  }
-}
-
-void send_all(int fd, const std::string& bytes) {
-  std::size_t sent = 0;
-  while (sent < bytes.size()) {
-    const ssize_t size = ::send(fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
-    if (size <= 0) return;
-    sent += static_cast<std::size_t>(size);
-  }
-}
-
-void reset(int fd) {
-  const linger now{1, 0};
-  ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
-}
-
-std::string id_of(const std::string& request) {
-  const std::size_t at = request.find("X-Request-Id: ");
-  return request.substr(at + 14, request.find("\r\n", at) - at - 14);
-}
-
-std::string answer(const std::string& id, const std::string& body, const std::string& more = "") {
-  return "HTTP/1.1 200 OK\r\n" + (id.empty() ? "" : "X-Request-Id: " + id + "\r\n") + more +
-         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-// A server that does what a script says with each request: false ends the connection.
-class ScriptedServer {
- public:
-  using Script = std::function<bool(int fd, int number, const std::string& request)>;
-  explicit ScriptedServer(Script script) : script_(std::move(script)) {
-    listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in address = loopback(0);
-    REQUIRE(::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
-    REQUIRE(::listen(listener_, 64) == 0);
-    port_ = bound_port(listener_);
-    thread_ = std::thread([this] { run(); });
-  }
-  ~ScriptedServer() {
-    stopping_ = true;
-    ::shutdown(listener_, SHUT_RDWR);
-    thread_.join();
-    for (std::thread& each : connections_) each.join();
-    ::close(listener_);
-  }
-  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
-  int requests() const { return requests_; }
-  int connections() const { return accepted_; }
-
- private:
-  void run() {
-    while (!stopping_) {
-      const int fd = ::accept(listener_, nullptr, nullptr);
-      if (fd < 0) return;
-      ++accepted_;
-      connections_.emplace_back([this, fd] { serve(fd); });
-    }
-  }
-  void serve(int fd) {
-    std::string rest;
-    for (;;) {
-      const std::string request = read_message(fd, rest);
-      if (request.empty() || !script_(fd, ++requests_, request)) break;
-    }
-    ::close(fd);
-  }
-  Script script_;
-  int listener_ = -1;
-  std::uint16_t port_ = 0;
-  std::thread thread_;
-  std::vector<std::thread> connections_;
-  std::atomic<int> requests_{0}, accepted_{0};
-  std::atomic<bool> stopping_{false};
-};
-
 // What came of one call on a kept or new connection.
 struct Got {
   UpstreamConnection::Read head = UpstreamConnection::Read::kBroken, end = UpstreamConnection::Read::kBroken;
