--- a/src/batch/item_runner.cpp
+++ b/src/batch/item_runner.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "forwarding/event_stream.h"
+#include "forwarding/request_headers.h"
 #include "node/log.h"
 
 namespace nettlestand::tier {
@@ -104,9 +105,11 @@
   out.method = "POST";
   out.target = item.path;
   out.host = job.spec.host;
+  HeaderFields fields;
   for (std::size_t i = 0; i < item.header_names.size(); ++i) {
-    out.headers.emplace_back(item.header_names[i], item.header_values[i]);
+    fields.emplace_back(item.header_names[i], item.header_values[i]);
   }
+  out.headers = forwarded_headers(fields);
   out.body = item.body;
   out.deadline = now + kItemDeadlineMs;
   out.is_item = true;
--- a/src/forwarding/upstream.cpp
+++ b/src/forwarding/upstream.cpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <utility>
 
+#include "forwarding/request_headers.h"
 #include "messaging/network.h"
 
 namespace nettlestand::tier {
@@ -35,22 +36,6 @@
 
 std::string_view view_of(beast::string_view text) { return {text.data(), text.size()}; }
 
-bool is_hop_header(http::field name) {
-  switch (name) {
-    case http::field::connection:
-    case http::field::keep_alive:
-    case http::field::proxy_connection:
-    case http::field::transfer_encoding:
-    case http::field::te:
-    case http::field::trailer:
-    case http::field::upgrade:
-    case http::field::content_length:
-      return true;
-    default:
-      return false;
-  }
-}
-
 // "3,0,8" as three numbers; false where it is something else.
 bool parse_load(std::string_view text, ResponseHead& head) {
   std::array<int, 3> values{};
@@ -197,8 +182,8 @@
     head.has_length = parser_->content_length().has_value();
     head.length = parser_->content_length().value_or(0);
     for (const auto& field : message) {
-      if (is_hop_header(field.name())) continue;
       const std::string name(view_of(field.name_string())), value(view_of(field.value()));
+      if (is_hop_header(name)) continue;
       if (beast::iequals(field.name_string(), "X-Server-Load")) {
         parse_load(value, head);
         continue;
--- a/src/node/http_server.cpp
+++ b/src/node/http_server.cpp
@@ -43,23 +43,6 @@
   return beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
 }
 
-bool is_hop_header(http::field name) {
-  switch (name) {
-    case http::field::connection:
-    case http::field::keep_alive:
-    case http::field::proxy_connection:
-    case http::field::transfer_encoding:
-    case http::field::te:
-    case http::field::trailer:
-    case http::field::upgrade:
-    case http::field::content_length:
-    case http::field::expect:
-      return true;
-    default:
-      return false;
-  }
-}
-
 int status_of(error_code error) {
   if (error == http::error::header_limit) return 431;
   if (error == http::error::body_limit) return 413;
@@ -196,7 +179,6 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     parser.body_limit(limits.max_body_bytes);
-    parser.eager(true);
     error_code error;
     bool begun = buffer_.size() > 0;
     if (!begun) {
@@ -207,8 +189,14 @@
       resting_ = false;
       begun = !error;
     }
+    if (!error && !parser.is_done()) expire_after(limits.header_timeout);
+    if (!error && !parser.is_header_done()) {
+      co_await http::async_read_header(stream_, buffer_, parser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+    }
+    HeaderList headers;  // taken before the body is read, so that trailers never count as headers
+    if (!error) headers = headers_of(parser.get());
     if (!error && !parser.is_done()) {
-      expire_after(limits.header_timeout);
       co_await http::async_read(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
     }
     if (error) {
@@ -220,21 +208,25 @@
       }
       co_return false;
     }
-    take(parser.release());
+    take(parser.release(), std::move(headers));
     co_return true;
   }
 
-  void take(http::request<http::string_body> message) {
+  static HeaderList headers_of(const http::fields& fields) {
+    HeaderList out;
+    for (const auto& field : fields) {
+      out.emplace_back(std::string(view_of(field.name_string())), std::string(view_of(field.value())));
+    }
+    return out;
+  }
+
+  void take(http::request<http::string_body> message, HeaderList headers) {
     keep_alive_ = message.keep_alive();
     request = HttpRequest();
     request.method = std::string(view_of(message.method_string()));
     request.target = std::string(view_of(message.target()));
     request.received_at = steady_now();
-    for (const auto& field : message) {
-      if (is_hop_header(field.name())) continue;
-      request.headers.emplace_back(std::string(view_of(field.name_string())),
-                                   std::string(view_of(field.value())));
-    }
+    request.headers = std::move(headers);
     request.body = std::move(message.body());
   }
 
--- a/src/node/http_server.h
+++ b/src/node/http_server.h
@@ -20,7 +20,7 @@
 
 struct HttpRequest {
   std::string method, target;
-  HeaderList headers;  // without those that concern one connection
+  HeaderList headers;  // as they came, without trailers
   std::string body;
   Millis received_at = 0;
 
--- a/src/node/live_front.cpp
+++ b/src/node/live_front.cpp
@@ -1,10 +1,11 @@
 #include "node/live_front.h"
 
 #include <algorithm>
-#include <boost/beast/core/string.hpp>
 #include <charconv>
 #include <utility>
 
+#include "forwarding/request_headers.h"
+
 namespace nettlestand::tier {
 namespace {
 
@@ -21,18 +22,6 @@
 const char* const kRetryControl = "1";
 const char* const kRetryQuota = "0.8";
 
-bool equal_names(std::string_view a, std::string_view b) {
-  return boost::beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
-}
-
-// Headers that the system itself sets, or that the server must not see.
-bool is_own_header(std::string_view name) {
-  static constexpr std::string_view kOwn[] = {
-      "Host", "X-Api-Key", "X-Tenant", "X-Request-Id", "X-Deadline-Ms", "Last-Event-Id", "X-Expect-Instance"};
-  return std::any_of(std::begin(kOwn), std::end(kOwn),
-                     [&](std::string_view own) { return equal_names(own, name); });
-}
-
 Millis number_or(std::string_view text, Millis otherwise) {
   Millis value = 0;
   const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -164,9 +153,7 @@
     forward.last_event_id = static_cast<std::uint64_t>(number_or(last, 0));
     forward.has_last_event_id = true;
   }
-  for (const auto& [name, value] : request.headers) {
-    if (!is_own_header(name)) forward.headers.emplace_back(name, value);
-  }
+  forward.headers = forwarded_headers(request.headers);
   forward.body = std::move(request.body);
   forward.may_send = [this, host = request.host(), path = std::string(request.path()), caller,
                       service = forward.service] { return still_allowed(host, path, caller, service); };
--- a/tests/system/item_test.cpp
+++ b/tests/system/item_test.cpp
@@ -89,7 +89,7 @@
 // A store that is the primary of the tenant's shard, with one copy.
 class Store {
  public:
-  explicit Store(ItemServer& server)
+  explicit Store(const ItemServer& server)
       : view_(NodeInfo{}, {}, 1),
         content_(1e9),
         follower_(messenger_, view_, content_, store_follower()),
@@ -203,6 +203,11 @@
     service_->on_replicate(primary, message);
   }
 
+  // As a fault of the memory would.
+  void damage_body(const std::string& job, std::size_t item) {
+    table_of_jobs_->find({kTenant, job})->spec.items[item].body += "!";
+  }
+
   void tick(Millis later = 0) {
     hear_leader(later);
     service_->tick(steady_now() + later);
@@ -249,6 +254,7 @@
     options.directory = folder_.path();
     StoreDisk disk;
     disk.table = std::make_unique<JobTable>();
+    table_of_jobs_ = disk.table.get();
     auto journal = JobJournal::open(options, 55, *disk.table, steady_now());
     REQUIRE(journal.ok());
     disk.journal = *std::move(journal);
@@ -290,6 +296,7 @@
   Forwarder forwarder_;
   Settings settings_{};
   PlacementTable table_{};
+  JobTable* table_of_jobs_ = nullptr;
   std::vector<JobDigest> digests_;
   std::optional<StoreService> service_;
   std::uint64_t calls_ = 0;
@@ -356,3 +363,42 @@
   CHECK(server.arrived().front().id == "j-1");
   CHECK(server.arrived().front().body == kBody);
 }
+
+TEST_CASE("headers of an item neither frame nor name its request") {
+  ItemServer server;
+  Store store(server);
+  store.answer_as_copy();
+  JobSpec spec = job_of("j", 1);
+  JobItem& item = spec.items.front();
+  item.header_names = {"Content-Length", "transfer-encoding", "X-Request-Id", "X-Tenant", "Connection",
+                       "X-Hop",          "X-Api-Key",         "X-Model"};
+  item.header_values = {"3", "chunked", "another", "another", "close, x-hop", "1", "k", "m"};
+  store.submit(spec);
+  store.settle();
+  REQUIRE(server.arrived().size() == 1);
+  const Arrived arrived = server.arrived().front();
+  CHECK(arrived.id == "j-0");
+  CHECK(arrived.body == kBody);
+  CHECK(arrived.head.find("X-Tenant: t\r\n") != std::string::npos);
+  CHECK(arrived.head.find("X-Model: m\r\n") != std::string::npos);
+  for (const char* absent : {"chunked", "another", "X-Hop", "X-Api-Key", "close"}) {
+    INFO(absent);
+    CHECK(arrived.head.find(absent) == std::string::npos);
+  }
+}
+
+TEST_CASE("an item whose body has changed is never sent, and the others of its job are") {
+  ItemServer server;
+  Store store(server);
+  store.answer_as_copy();
+  store.submit(job_of("j", 2));  // started, and not sent yet
+  store.place({kStrangerDisk, store.service().disk_id()});
+  store.settle();
+  store.damage_body("j", 0);
+  store.place({store.service().disk_id(), kCopyDisk});
+  store.answer_as_copy();
+  store.tick(kPastRetryMs);
+  store.settle();
+  REQUIRE(server.arrived().size() == 1);
+  CHECK(server.arrived().front().id == "j-1");
+}
--- a/tests/system/wire_test.cpp
+++ b/tests/system/wire_test.cpp
@@ -325,8 +325,10 @@
   std::uint16_t port = free_port();
   asio::io_context io;
   std::atomic<int> gone{0};
+  std::atomic<bool> saw_late_header{false};
   HttpServer server{io, "127.0.0.1:" + std::to_string(port), [] { return HttpLimits{}; },
                     [this](std::shared_ptr<HttpExchange> exchange) -> asio::awaitable<void> {
+                      if (!exchange->request.header("X-Late").empty()) saw_late_header = true;
                       if (exchange->request.body == "held") {
                         exchange->on_gone = [this] { ++gone; };
                         while (gone == 0 && co_await short_wait()) continue;
@@ -401,3 +403,18 @@
   CHECK(refused.find("Retry-After: ") != std::string::npos);
   CHECK(refused.find("Connection: close") != std::string::npos);
 }
+
+TEST_CASE("what comes behind a chunked body is no header, wherever the request is cut") {
+  const std::string all =
+      "POST /echo HTTP/1.1\r\nHost: h\r\nX-Request-Id: real\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nhello\r\n0\r\nX-Late: smuggled\r\n\r\n";
+  Server server;
+  for (std::size_t cut = 1; cut <= all.size(); ++cut) {
+    Client client(server.port);
+    client.send(all.substr(0, cut));
+    client.send(all.substr(cut));
+    INFO("cut at " << cut);
+    CHECK(client.read().ends_with("echo hello"));
+  }
+  CHECK_FALSE(server.saw_late_header);
+}
