Tell late messages of a primary apart; soak real processes with signals that overlap

Messages of a primary are numbered for each peer and rise over tenures and starts of the process; a copy passes over older ones of an epoch, and digests count only as the answer to the question that is out. Found by it: a SIGHUP or SIGTERM in the first moments of a process ended it by its default; signals are held back until the node heeds them.

--- a/src/batch/job_journal.cpp
+++ b/src/batch/job_journal.cpp
@@ -30,6 +30,7 @@
   });
   if (!ring.ok()) return ring.status();
   journal->ring_ = *std::move(ring);
+  journal->starts_ = journal->ring_->current();  // each start begins a segment
   return journal;
 }
 
--- a/src/batch/job_journal.h
+++ b/src/batch/job_journal.h
@@ -45,6 +45,8 @@
   // Whether there is room for new jobs beside what running ones will need. May be asked on any thread.
   bool accepts_jobs() const;
   std::size_t free_segments() const { return ring_->free_segments(); }
+  // Rises with each start on this disk.
+  std::uint64_t starts() const { return starts_; }
 
  private:
   JobJournal() = default;
@@ -57,6 +59,7 @@
   std::unique_ptr<storage::SegmentRing> ring_;
   StoreId disk_id_ = 0;
   std::size_t segments_ = 0;
+  std::uint64_t starts_ = 0;
   std::map<storage::Generation, std::set<JobKey>> jobs_in_;  // jobs with records in a segment
   storage::Generation identity_in_ = 0;
 };
--- a/src/batch/shard_primary.cpp
+++ b/src/batch/shard_primary.cpp
@@ -58,9 +58,11 @@
   const auto end = queued_.begin() + static_cast<std::ptrdiff_t>(count);
   batch_.assign(std::make_move_iterator(queued_.begin()), std::make_move_iterator(end));
   queued_.erase(queued_.begin(), end);
-  batch_number_ = ++numbers_;
   local_durable_ = false;
-  for (auto& [id, peer] : peers_) peer.batch_acked = false;
+  for (auto& [id, peer] : peers_) {
+    peer.batch_sent = 0;
+    peer.batch_acked = false;
+  }
   return batch_;
 }
 
@@ -96,7 +98,9 @@
     if (!peer.digested) {
       if (peer.asked_at != 0 && now < peer.asked_at + kResendMs) continue;
       peer.asked_at = now;
+      if (peer.ask == 0) peer.ask = ++numbers_;
       Replicate ask = message(id);
+      ask.batch = peer.ask;
       ask.digest_wanted = true;
       out.push_back(std::move(ask));
       continue;
@@ -106,11 +110,11 @@
       continue;
     }
     if (batch_.empty() || peer.batch_acked) continue;
-    if (peer.batch_sent == batch_number_ && now < peer.batch_sent_at + kResendMs) continue;
-    peer.batch_sent = batch_number_;
+    if (peer.batch_sent != 0 && now < peer.batch_sent_at + kResendMs) continue;
+    if (peer.batch_sent == 0) peer.batch_sent = ++numbers_;
     peer.batch_sent_at = now;
     Replicate next = message(id);
-    next.batch = batch_number_;
+    next.batch = peer.batch_sent;
     next.changes = batch_;
     out.push_back(std::move(next));
   }
@@ -121,7 +125,7 @@
   const auto found = peers_.find(reply.from);
   if (found == peers_.end() || reply.epoch != row_.epoch || !reply.accepted) return;
   Peer& peer = found->second;
-  if (reply.has_digest && !peer.digested) {
+  if (reply.has_digest && !peer.digested && reply.batch == peer.ask) {
     peer.digested = true;
     std::set<JobKey> seen;
     for (const JobDigest& held : reply.digest) {
@@ -139,7 +143,7 @@
     peer.repair = 0;
     return settle();
   }
-  if (!batch_.empty() && reply.batch == batch_number_) {
+  if (!batch_.empty() && peer.batch_sent != 0 && reply.batch == peer.batch_sent) {
     peer.batch_acked = true;
     try_commit();
   }
--- a/src/batch/store_service.cpp
+++ b/src/batch/store_service.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t kMaxPageBytes = 900U << 10;
 constexpr Millis kExpiryMs = 2000;  // between looks for jobs that may go
 constexpr Millis kKeepBeyondStatusMs = 30000;
+// Of the numbers of a primary's messages: starts of the process, its tenures, messages.
+constexpr unsigned kStartShift = 40, kTenureShift = 24;
 
 std::string page_of(const Job& job, std::uint64_t start) {
   rapidjson::StringBuffer buffer;
@@ -127,8 +129,9 @@
   if (!leads || tenures_.contains(shard)) return;
   const auto copies = static_cast<std::size_t>(settings_.fault_tolerance.machines) + 1;
   NETTLESTAND_INFO("primary of shard=" << shard << " epoch=" << row->epoch);
+  const std::uint64_t number = ++tenure_numbers_;
   const auto added = tenures_.emplace(
-      shard, Tenure(++tenure_numbers_, ShardPrimary(shard, disk_id(), copies, *disk_.table)));
+      shard, Tenure(number, ShardPrimary(shard, disk_id(), copies, *disk_.table, first_number_of(number))));
   added.first->second.primary.set_placement(*row);
 }
 
@@ -152,6 +155,12 @@
   });
 }
 
+// A process may lead again in the epoch in which its last life did: numbers rise with each start and each
+// tenure.
+std::uint64_t StoreService::first_number_of(std::uint64_t tenure) const {
+  return disk_.journal->starts() << kStartShift | tenure << kTenureShift;
+}
+
 std::vector<InSync> StoreService::in_sync() {
   std::vector<InSync> out;
   for (auto& [shard, tenure] : tenures_) {
@@ -315,8 +324,17 @@
   return sender != nullptr && sender->address == from;
 }
 
+// A message of an older connection may be read after one of the connection that came in its place.
+bool StoreService::is_late(const Replicate& message) {
+  LastMessage& last = last_messages_[message.shard];
+  if (last.epoch == message.epoch && message.batch < last.number) return true;
+  last = {message.epoch, message.batch};
+  return false;
+}
+
 void StoreService::on_replicate(const std::string& from, const Replicate& message) {
   if (message.to != disk_id() || !is_from_primary(from, message)) return;
+  if (is_late(message)) return;
   for (const JobChange& change : message.changes) {
     if (batch_shard_of(change.tenant) != message.shard) return;
   }
--- a/src/batch/store_service.h
+++ b/src/batch/store_service.h
@@ -74,6 +74,8 @@
                         const std::vector<JobChange>& batch, const absl::Status& status, std::size_t queued);
   bool take_committed(Millis now);
   bool is_from_primary(const std::string& from, const Replicate& message) const;
+  bool is_late(const Replicate& message);
+  std::uint64_t first_number_of(std::uint64_t tenure) const;
   void acknowledge(const std::string& from, const Replicate& message);
   void submit_write(storage::DiskQueue::Write write, storage::DiskQueue::Done done);
   // Appends changes to the journal, and tells how many of them it has queued, also where that fails.
@@ -104,6 +106,11 @@
   std::unique_ptr<JobRunner> runner_;
   std::map<std::uint32_t, Tenure> tenures_;
   std::uint64_t tenure_numbers_ = 0;
+  // The last message of a shard's primary that was taken: older ones, which come late, change nothing.
+  struct LastMessage {
+    std::uint64_t epoch = 0, number = 0;
+  };
+  std::map<std::uint32_t, LastMessage> last_messages_;
   std::size_t writes_under_way_ = 0;
   std::map<JobKey, std::int64_t> submitted_;   // tokens of jobs on their way to all copies, by job
   std::map<JobKey, std::uint32_t> positions_;  // results given out, with those on their way
--- a/src/node/system_main.cpp
+++ b/src/node/system_main.cpp
@@ -1,6 +1,7 @@
 #include "node/system_main.h"
 
 #include <popt.h>
+#include <signal.h>
 
 #include <cstdlib>
 #include <fstream>
@@ -45,7 +46,23 @@
   return false;
 }
 
+// Holds back the signals that a node heeds until it can: at their default a SIGHUP that comes early would end
+// it.
+class HeldSignals {
+ public:
+  HeldSignals() {
+    sigemptyset(&held_);
+    for (const int signal : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&held_, signal);
+    pthread_sigmask(SIG_BLOCK, &held_, nullptr);
+  }
+  void deliver() { pthread_sigmask(SIG_UNBLOCK, &held_, nullptr); }
+
+ private:
+  sigset_t held_{};
+};
+
 int run_role(NodeRole role, const std::string& path) {
+  HeldSignals signals;
   if (path.empty()) {
     std::cerr << "NETTLESTAND_CONFIG names no settings file\n";
     return kExitBadUse;
@@ -56,7 +73,9 @@
     return kExitBadUse;
   }
   start_logging(settings->log.level);
-  return NodeProgram(role, *std::move(settings), path).run();
+  NodeProgram program(role, *std::move(settings), path);  // from here on they have handlers
+  signals.deliver();
+  return program.run();
 }
 
 }  // namespace
--- a/standins/tier/engine.cpp
+++ b/standins/tier/engine.cpp
@@ -52,6 +52,12 @@
   });
 }
 
+std::string Engine::whole_stream() {
+  std::string out;
+  for (std::uint64_t number = 1; number <= kUsualEvents; ++number) out += event_of(number);
+  return out;
+}
+
 void Engine::set_instance(std::string id) {
   const std::lock_guard lock(mutex_);
   id_ = std::move(id);
--- a/standins/tier/engine.h
+++ b/standins/tier/engine.h
@@ -45,14 +45,17 @@
 
 class Engine {
  public:
+  static constexpr int kUsualEvents = 4;
   // `id` is its instance; it turns requests for other instances away with 421.
-  Engine(LoopThread& loop, std::string id, std::string address, int events = 4);
+  Engine(LoopThread& loop, std::string id, std::string address, int events = kUsualEvents);
   void set_mode(EngineMode mode) { mode_ = mode; }
   void set_instance(std::string id);
   // Time between events; the stream of a test that wants to act in its middle.
   void set_pause_ms(int pause) { pause_ms_ = pause; }
   std::vector<SeenRequest> seen() const;
   std::size_t runs() const { return seen().size(); }
+  // The body of a whole answer of an engine with the usual number of events.
+  static std::string whole_stream();
   const std::string& address() const { return address_; }
 
  private:
--- a/standins/tier/tier_world.cpp
+++ b/standins/tier/tier_world.cpp
@@ -25,11 +25,16 @@
 
 constexpr int kFrontPort = 18405, kReadyPort = 18406, kControlPort = 18407, kInternalPort = 17660;
 constexpr int kPlatformPort = 18408, kEnginePort = 19000;
-constexpr std::size_t kFirstEngineIp = 100, kPlatformIp = 90;
+// The last byte of addresses: nodes from 1 on, then engines and the platform.
+constexpr std::size_t kFirstEngineIp = 230, kPlatformIp = 229;
+constexpr std::size_t kMostNodes = kPlatformIp - 1;
+constexpr int kSignalBase = 128;
 
 }  // namespace
 
 TierWorld::TierWorld(const WorldOptions& options) : options_(options) {
+  if (options_.core + options_.plain_edges + options_.stores > kMostNodes)
+    throw std::runtime_error("too many nodes for one network");
   std::string pattern = (std::filesystem::temp_directory_path() / "nettlestand-tier-XXXXXX").string();
   if (::mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder");
   folder_ = pattern;
@@ -58,7 +63,7 @@
 TierWorld::~TierWorld() {
   for (std::size_t i = 0; i < nodes_.size(); ++i) kill(i);
   std::error_code ignored;
-  std::filesystem::remove_all(folder_, ignored);
+  if (!keeps_logs_) std::filesystem::remove_all(folder_, ignored);
 }
 
 std::string TierWorld::ip(std::size_t i) const {
@@ -107,6 +112,7 @@
 
 void TierWorld::start(std::size_t i, bool bootstrap) {
   Node& node = nodes_.at(i);
+  node.logged = log(i).size();
   write_settings(node, bootstrap);
   const std::string settings = folder_ + "/" + node.name + ".toml", log = folder_ + "/" + node.name + ".log";
   const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
@@ -134,7 +140,21 @@
   node.pid = 0;
 }
 
-void TierWorld::terminate(std::size_t i) { ::kill(nodes_.at(i).pid, SIGTERM); }
+void TierWorld::signal(std::size_t i, int number) { ::kill(nodes_.at(i).pid, number); }
+
+void TierWorld::terminate(std::size_t i) { signal(i, SIGTERM); }
+
+bool TierWorld::has_started(std::size_t i) const {
+  return log(i).find("started node=", nodes_.at(i).logged) != std::string::npos;
+}
+
+std::optional<int> TierWorld::ended(std::size_t i) {
+  Node& node = nodes_.at(i);
+  int status = 0;
+  if (node.pid <= 0 || ::waitpid(node.pid, &status, WNOHANG) != node.pid) return std::nullopt;
+  node.pid = 0;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : kSignalBase + WTERMSIG(status);
+}
 
 int TierWorld::exit_code(std::size_t i) {
   Node& node = nodes_.at(i);
@@ -156,6 +176,11 @@
   return out.str();
 }
 
+std::string TierWorld::keep_logs() {
+  keeps_logs_ = true;
+  return folder_;
+}
+
 HttpResult TierWorld::call(const std::string& address, const std::string& method, const std::string& target,
                            const HeaderList& headers, const std::string& body, int timeout_ms) const {
   HttpResult out;
@@ -191,10 +216,13 @@
   return out;
 }
 
+std::string TierWorld::front_address(std::size_t node) const {
+  return nodes_.at(node).ip + ":" + std::to_string(kFrontPort);
+}
+
 HttpResult TierWorld::client(std::size_t node, const std::string& method, const std::string& target,
                              const HeaderList& headers, const std::string& body, int timeout_ms) const {
-  return call(nodes_.at(node).ip + ":" + std::to_string(kFrontPort), method, target, headers, body,
-              timeout_ms);
+  return call(front_address(node), method, target, headers, body, timeout_ms);
 }
 
 HttpResult TierWorld::control(std::size_t node, const std::string& method, const std::string& target,
--- a/standins/tier/tier_world.h
+++ b/standins/tier/tier_world.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,9 +40,17 @@
   void start(std::size_t node, bool bootstrap = false);
   void kill(std::size_t node);       // as by SIGKILL
   void terminate(std::size_t node);  // SIGTERM; see exit_code()
-  int exit_code(std::size_t node);   // waits for the process to end
-  void wipe(std::size_t node);       // its disk; while it is down
+  void signal(std::size_t node, int number);
+  bool is_running(std::size_t node) const { return nodes_.at(node).pid > 0; }
+  // Whether the process has said, since its last start, that it has started.
+  bool has_started(std::size_t node) const;
+  // Whether a process has ended by itself: its exit code, or 128 and the number of the signal that ended it.
+  std::optional<int> ended(std::size_t node);
+  int exit_code(std::size_t node);  // waits for the process to end
+  void wipe(std::size_t node);      // its disk; while it is down
   std::string log(std::size_t node) const;
+  // Leaves the logs behind when the world is gone; the folder in which they are.
+  std::string keep_logs();
 
   // One call; `timeout_ms` bounds it as a whole.
   HttpResult call(const std::string& address, const std::string& method, const std::string& target,
@@ -50,10 +59,12 @@
                     const HeaderList& headers, const std::string& body, int timeout_ms = 5000) const;
   HttpResult control(std::size_t node, const std::string& method, const std::string& target,
                      const HeaderList& headers, const std::string& body) const;
+  std::string front_address(std::size_t node) const;
   bool ready(std::size_t node) const;
   // Sends an order to one node after the other until it is decided.
   HttpResult order(const std::string& verb, std::uint64_t base, const std::string& body) const;
 
+  std::size_t engines() const { return engines_.size(); }
   Engine& engine(std::size_t i) { return *engines_.at(i); }
   Platform& platform() { return *platform_; }
   // The list as it is when all engines are well.
@@ -64,6 +75,7 @@
     std::string name, ip, role, folder;
     bool has_disk = false;
     int pid = 0;
+    std::size_t logged = 0;  // bytes of its log at its last start
   };
   std::string ip(std::size_t i) const;
   void write_settings(const Node& node, bool bootstrap) const;
@@ -71,6 +83,7 @@
   WorldOptions options_;
   std::string folder_;
   unsigned net_ = 0;
+  bool keeps_logs_ = false;
   std::vector<Node> nodes_;
   LoopThread loop_;
   std::unique_ptr<Platform> platform_;
--- a/tests/system/batch_test.cpp
+++ b/tests/system/batch_test.cpp
@@ -686,12 +686,10 @@
     reply.from = store;
     reply.accepted = true;
     reply.batch = batch;
-    reply.has_digest = batch == 0;
+    reply.has_digest = !primary.ready();
     primary.on_reply(reply);
   };
-  primary.outgoing(0);
-  reply_from(kMember, 0);
-  reply_from(kJoining, 0);
+  for (const Replicate& ask : primary.outgoing(0)) reply_from(ask.to, ask.batch);
   REQUIRE(primary.ready());
   primary.add(new_job("j", 2));
   REQUIRE(primary.next_batch().size() == 1);
--- /dev/null
+++ b/tests/system/soak_test.cpp
@@ -0,0 +1,122 @@
+// A short soak from fixed seeds, and that its oracle sees what it is there to see. Long ones are played by
+// hand with nettlestand-soak.
+#include "soak/soak.h"
+
+#include <catch2/catch.hpp>
+
+using namespace nettlestand::tier;
+using namespace nettlestand::tier::soak;
+
+namespace {
+
+constexpr int kSeconds = 20;
+constexpr std::uint64_t kPlannedSeed = 2, kUnplannedSeed = 3;
+
+LiveRequest request(const std::string& id, bool repeatable, int status) {
+  LiveRequest out;
+  out.id = id;
+  out.target = "/x";
+  out.body = "body";
+  out.tenant = "t";
+  out.repeatable = repeatable;
+  out.sent_at = 1000;
+  out.outcome.status = status;
+  out.outcome.complete = status != 0;
+  out.outcome.whole_sent = true;
+  out.outcome.ended_at = 2000;
+  return out;
+}
+
+standins::SeenRequest run_of(const std::string& id) {
+  standins::SeenRequest out;
+  out.id = id;
+  out.target = "/x";
+  out.body = "body";
+  out.tenant = "t";
+  return out;
+}
+
+// What the oracle says of one request and its runs.
+std::vector<std::string> judged(const LiveRequest& sent, const std::vector<standins::SeenRequest>& runs) {
+  Ledger ledger;
+  ledger.on_sent(sent);
+  ledger.check(runs);
+  return ledger.broken();
+}
+
+}  // namespace
+
+TEST_CASE("signals, restarts and changes that overlap break no promise to clients with open connections") {
+  SoakOptions options;
+  options.program = PROGRAM;
+  options.seconds = kSeconds;
+  options.seed = GENERATE(kPlannedSeed, kUnplannedSeed);
+  const SoakReport report = play_soak(options);
+  std::string broken;
+  for (const std::string& line : report.broken) broken += line + "\n";
+  INFO("seed " << options.seed << "\n" << broken);
+  CHECK(report.broken.empty());
+  // It was neither idle nor dead.
+  CHECK(report.totals.served > 500);
+  CHECK(report.totals.results > 50);
+  CHECK(report.signals > 5);
+}
+
+TEST_CASE("the oracle of the soak sees each broken promise, and none that was kept") {
+  const LiveRequest kept = request("a", false, 200);
+  CHECK(judged(kept, {run_of("a")}).empty());
+  CHECK(judged(request("a", true, 200), {run_of("a"), run_of("a")}).empty());
+  CHECK(judged(kept, {run_of("a"), run_of("a")}).size() == 1);         // TWICE
+  CHECK(judged(kept, {run_of("a"), run_of("nobody's")}).size() == 1);  // UNASKED
+  CHECK(judged(request("a", false, 503), {run_of("a")}).size() == 1);  // REFUSED
+  CHECK(judged(request("a", false, 0), {run_of("a")}).size() == 1);    // LOST
+  CHECK(judged(request("a", false, 0), {}).size() == 1);               // LOST, read and not passed on
+  standins::SeenRequest changed = run_of("a");
+  changed.body = "";
+  CHECK(judged(kept, {changed}).size() == 1);
+  changed = run_of("a");
+  changed.api_key = "key";
+  CHECK(judged(kept, {changed}).size() == 1);
+}
+
+TEST_CASE("a loss beside unplanned trouble, or at the close of a connection, is not owed") {
+  const auto judged_with = [](const LiveRequest& sent, Millis from, Millis until) {
+    Ledger ledger;
+    ledger.on_sent(sent);
+    ledger.on_unplanned(sent.node, from, until);
+    ledger.check({run_of(sent.id)});
+    return ledger.broken().size();
+  };
+  const LiveRequest lost = request("a", false, 0);
+  CHECK(judged_with(lost, 1500, 1600) == 0);
+  CHECK(judged_with(lost, 2100, 2200) == 1);
+  LiveRequest crossed = lost;
+  crossed.outcome.ended_at = crossed.sent_at + 100;
+  CHECK(judged(crossed, {}).empty());
+  CHECK(judged(crossed, {run_of("a")}).size() == 1);
+}
+
+TEST_CASE("results of jobs are compared with what was submitted and with what was read before") {
+  Ledger ledger;
+  ledger.set_whole_text("whole");
+  SubmittedJob job;
+  job.id = "j";
+  job.tenant = "t";
+  job.bodies = {{"j-0", "body"}, {"j-1", "body"}};
+  ledger.on_job(job);
+  ledger.on_job_answer("j", true, false);
+  ledger.on_page("j", {"j-0"}, {"whole"});
+  ledger.on_page("j", {"j-0", "j-1"}, {"whole", "whole"});
+  CHECK(ledger.broken().empty());
+  CHECK(ledger.open_jobs().empty());
+  SECTION("another result at a position") { ledger.on_page("j", {"j-1"}, {"whole"}); }
+  SECTION("an item twice") { ledger.on_page("j", {"j-0", "j-1", "j-0"}, {"whole", "whole", "whole"}); }
+  SECTION("a text that is not whole") { ledger.on_page("j", {"j-0"}, {"whol"}); }
+  SECTION("a job that is gone") { ledger.on_job_missing("j"); }
+  SECTION("an item of which the body has changed") {
+    standins::SeenRequest run = run_of("j-0");
+    run.body = "";
+    ledger.check({run});
+  }
+  CHECK(ledger.broken().size() == 1);
+}
--- a/tools/simulate/campaign.cpp
+++ b/tools/simulate/campaign.cpp
@@ -22,7 +22,8 @@
 class Campaign {
  public:
   Campaign(std::uint64_t seed, Planted planted)
-      : cluster_(options(seed, planted), history_),
+      : late_world_(is_late_world(seed)),
+        cluster_(options(seed, planted), history_),
         operators_(cluster_, history_, has_large_configurations(seed)),
         jobs_(cluster_, history_, has_small_job_journals(seed)) {}
 
@@ -31,6 +32,7 @@
     cluster_.scheduler().run_until(1500);
     operators_.change();
     cluster_.scheduler().run_until(kFormedMs);
+    cluster_.set_late(late_world_);
     next_fault();
     step_until(kFaultsMs);
     heal();
@@ -45,12 +47,15 @@
 
  private:
   static bool has_large_configurations(std::uint64_t seed) { return seed % 4 == 3; }
+  // Worlds in which trouble befalls the stores alone and messages come late all the time.
+  static bool is_late_world(std::uint64_t seed) { return seed % 5 == 2; }
   static bool has_small_job_journals(std::uint64_t seed) { return seed % 6 == 1; }
   static ClusterOptions options(std::uint64_t seed, Planted planted) {
     ClusterOptions out;
     out.seed = seed;
     out.planted = planted;
     out.large_configurations = has_large_configurations(seed);
+    if (is_late_world(seed)) out.stores = 4 + seed % 3;
     out.small_job_journals = has_small_job_journals(seed);
     out.core = seed % 5 == 0 ? 5 : seed % 7 == 0 ? 4 : 3;
     out.stores = seed % 5 == 0 ? 5 + seed % 3 : 3 + seed % 2;
@@ -102,8 +107,14 @@
     const std::vector<std::size_t> all = cluster_.machines_of(kind);
     return all[cluster_.random(all.size())];
   }
-  std::size_t any_counted() { return any(cluster_.chance(0.5) ? MachineKind::kCore : MachineKind::kStore); }
-  std::size_t any_machine() { return cluster_.chance(0.3) ? any(MachineKind::kEdge) : any_counted(); }
+  std::size_t any_counted() {
+    const bool core = !late_world_ && cluster_.chance(0.5);
+    return any(core ? MachineKind::kCore : MachineKind::kStore);
+  }
+  std::size_t any_machine() {
+    const bool edge = !late_world_ && cluster_.chance(0.3);
+    return edge ? any(MachineKind::kEdge) : any_counted();
+  }
   Millis span(Millis least, Millis more) {
     return least + static_cast<Millis>(cluster_.random(static_cast<std::uint64_t>(more)));
   }
@@ -217,6 +228,11 @@
           });
         }
         return true;
+      case Fault::kLate:
+        cluster_.set_late(true);
+        cluster_.scheduler().after(span(1000, 6000),
+                                   [this] { cluster_.set_late(late_world_ && cluster_.now() < kFaultsMs); });
+        return true;
       case Fault::kStoresInTurn:
         stores_in_turn();
         return true;
@@ -325,6 +341,7 @@
   void heal() {
     cluster_.heal_cuts();
     cluster_.set_lossy(false);
+    cluster_.set_late(false);
     for (std::size_t i = 0; i < cluster_.size(); ++i) cluster_.set_disk_full(i, false);
   }
   // Some faults last beyond the end; only then calm begins.
@@ -404,6 +421,7 @@
     if (!answered) history_.fail("the configuration can't be read once all is calm");
   }
 
+  bool late_world_;
   History history_;
   Cluster cluster_;
   Operators operators_;
@@ -421,7 +439,8 @@
       "cut_halves",    "cut_from_core",   "kill_core",    "power_core",   "power_all",  "power_all_and_wipe",
       "leader_killed", "leader_power",    "leader_wiped", "leader_cut",   "replace",    "replace_oldest",
       "retire",        "retire_and_wipe", "add_store",    "add_core",     "disk_stall", "disk_slow",
-      "disk_full",     "disk_rot",        "lossy",        "many_changes", "race",       "stores_in_turn"};
+      "disk_full",     "disk_rot",        "lossy",        "many_changes", "race",       "stores_in_turn",
+      "late"};
   return kNames[static_cast<std::size_t>(fault)];
 }
 
--- a/tools/simulate/campaign.h
+++ b/tools/simulate/campaign.h
@@ -42,6 +42,7 @@
   kManyChanges,
   kRace,
   kStoresInTurn,  // one store alone for a while, then all but that one
+  kLate,          // messages that come behind newer ones
   kCount
 };
 const char* name_of(Fault fault);
--- a/tools/simulate/cluster.cpp
+++ b/tools/simulate/cluster.cpp
@@ -18,6 +18,8 @@
 constexpr Millis kRestartRetryMs = 300;
 constexpr Millis kLeaseMs = 3700;  // revoke_ms less the margin that nodes keep
 constexpr double kLossyDelay = 0.05;
+constexpr double kLate = 0.15;  // of the messages, while some come late
+constexpr std::uint64_t kMostLateMs = 4000;
 constexpr double kDamaged = 0.3;  // of the pieces of a configuration, while links are lossy
 constexpr std::size_t kMostRunning = 6;
 constexpr int kItemAttempts = 2;
@@ -40,6 +42,12 @@
     if (cluster_.lossy_) cluster_.damage_content(body);
     Millis delay = 1 + static_cast<Millis>(cluster_.random(3));
     if (cluster_.lossy_ && cluster_.chance(kLossyDelay)) delay += static_cast<Millis>(cluster_.random(400));
+    if (cluster_.late_ && cluster_.chance(kLate)) {
+      delay += static_cast<Millis>(cluster_.random(kMostLateMs));
+      scheduler.after(delay, [&cluster = cluster_, from = self_, to, sent = scheduler.now(),
+                              body = std::move(body)] { cluster.deliver(from, to, sent, body); });
+      return;
+    }
     Millis& free_at = cluster_.link_free_at_[{self_, to}];
     free_at = std::max(free_at, scheduler.now() + delay);
     scheduler.at(free_at, [&cluster = cluster_, from = self_, to, sent = scheduler.now(),
--- a/tools/simulate/cluster.h
+++ b/tools/simulate/cluster.h
@@ -86,6 +86,8 @@
   void cut(std::size_t from, std::size_t to) { cuts_.insert({from, to}); }
   void heal_cuts() { cuts_.clear(); }
   void set_lossy(bool lossy) { lossy_ = lossy; }
+  // Some messages come late, behind newer ones: as of a connection that another one has replaced.
+  void set_late(bool late) { late_ = late; }
   // Writes a fault to the log.
   void tell(const char* what, std::size_t i, Millis span) const;
   void count_as_lost(std::size_t i, Millis until);
@@ -142,7 +144,7 @@
   std::map<std::uint64_t, JobDone> job_calls_;
   std::uint64_t job_call_numbers_ = 0, runs_ = 0;
   std::vector<std::uint64_t> seen_sequence_;  // of each machine's present life
-  bool lossy_ = false, formed_ = false;
+  bool lossy_ = false, late_ = false, formed_ = false;
 };
 
 }  // namespace nettlestand::tier::simulate
--- /dev/null
+++ b/tools/soak/clients.h
@@ -0,0 +1,73 @@
+// Clients of the soak: each holds a connection and uses it until the node closes it, then goes to another
+// node.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <random>
+#include <string>
+
+#include "soak/kept_connection.h"
+#include "soak/ledger.h"
+#include "standins/tier/tier_world.h"
+
+namespace nettlestand::tier::soak {
+
+constexpr const char* kTenant = "t";
+constexpr const char* kHost = "h.example";
+// Keys of the one tenant. The first is never taken away.
+constexpr const char* kLastingKey = "k-lasting";
+constexpr const char* kPassingKey = "k-passing";
+
+// What all clients share.
+struct ClientContext {
+  const standins::TierWorld& world;
+  Ledger& ledger;
+  const std::atomic<bool>& stopping;
+};
+
+// Sends live requests one after the other.
+class LiveClient {
+ public:
+  LiveClient(ClientContext context, std::uint64_t number, std::uint64_t seed)
+      : context_(context), random_(seed), number_(number) {}
+  void run();
+
+ private:
+  bool connect();
+  void request_once();
+  LiveRequest next_request();
+  std::string bytes_of(const LiveRequest& request, bool chunked) const;
+  std::uint64_t below(std::uint64_t bound) { return random_() % bound; }
+
+  ClientContext context_;
+  std::mt19937_64 random_;
+  std::uint64_t number_, sent_ = 0;
+  std::size_t node_ = 0;
+  KeptConnection connection_;
+};
+
+// Submits jobs, reads them from any node, asks for bodies, and ends some of them, also twice.
+class JobClient {
+ public:
+  JobClient(ClientContext context, std::uint64_t number, std::uint64_t seed)
+      : context_(context), random_(seed), number_(number) {}
+  void run();
+  // Reads all open jobs until they are done; false where some are not by then.
+  bool finish(Millis patience);
+
+ private:
+  void submit();
+  void read(const SubmittedJob& job);
+  void ask_body(const SubmittedJob& job);
+  void end(const SubmittedJob& job);
+  Answer call(const std::string& method, const std::string& target, const std::string& id,
+              const std::string& body);
+  std::uint64_t below(std::uint64_t bound) { return random_() % bound; }
+
+  ClientContext context_;
+  std::mt19937_64 random_;
+  std::uint64_t number_, jobs_ = 0;
+};
+
+}  // namespace nettlestand::tier::soak
--- /dev/null
+++ b/tools/soak/kept_connection.h
@@ -0,0 +1,41 @@
+// A client's connection to one node, which it uses for as long as the node keeps it open.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/time.h"
+
+namespace nettlestand::tier::soak {
+
+struct Answer {
+  int status = 0;                              // 0: no whole head came
+  bool complete = false;                       // the body is whole
+  bool whole_sent = false;                     // the whole request was written
+  std::map<std::string, std::string> headers;  // names in lower case
+  std::string body;
+};
+
+class KeptConnection {
+ public:
+  // Whether a connection came about.
+  bool open(const std::string& address, Millis timeout);
+  bool is_open() const { return stream_ != nullptr; }
+  void close() { stream_.reset(); }
+  // Sends a request and reads its answer. The connection closes where the node closes it, or on any fault.
+  Answer exchange(const std::string& request, Millis timeout);
+
+ private:
+  boost::asio::io_context io_;
+  std::unique_ptr<boost::beast::tcp_stream> stream_;
+  boost::beast::flat_buffer buffer_;
+};
+
+// Between the requests of a client that is no benchmark.
+void pause_for(Millis time);
+
+}  // namespace nettlestand::tier::soak
--- /dev/null
+++ b/tools/soak/main.cpp
@@ -0,0 +1,68 @@
+// Plays soaks from seeds and tells what was broken: nettlestand-soak [--from SEED] [--seeds N] [--seconds S]
+// [--core N] [--edges N] [--stores N] [--engines N] [--clients N] [--program FILE].
+#include <popt.h>
+
+#include <iostream>
+
+#include "soak/soak.h"
+
+using namespace nettlestand::tier::soak;
+
+namespace {
+
+struct Options {
+  char* program = nullptr;
+  long from = 1, seeds = 1, seconds = 30, core = 3, edges = 2, stores = 3, engines = 4, clients = 12;
+};
+
+SoakOptions soak_options(const Options& options, std::uint64_t seed) {
+  SoakOptions out;
+  out.program = options.program != nullptr ? options.program : PROGRAM;
+  out.seed = seed;
+  out.seconds = static_cast<int>(options.seconds);
+  out.core = static_cast<std::size_t>(options.core);
+  out.edges = static_cast<std::size_t>(options.edges);
+  out.stores = static_cast<std::size_t>(options.stores);
+  out.engines = static_cast<std::size_t>(options.engines);
+  out.clients = static_cast<std::size_t>(options.clients);
+  return out;
+}
+
+void print(std::uint64_t seed, const SoakReport& report) {
+  const Ledger::Totals& totals = report.totals;
+  std::cout << "seed " << seed << (profile_of(seed) == Profile::kPlanned ? " planned" : " all") << ": "
+            << totals.requests << " requests, " << totals.served << " served, " << totals.refused
+            << " refused, " << totals.unanswered << " unanswered, " << totals.jobs << " jobs, "
+            << totals.results << " results, " << report.signals << " signals, " << report.changes
+            << " changes, " << report.broken.size() << " lines of what was broken" << std::endl;
+  for (const std::string& line : report.broken) std::cout << "  " << line << std::endl;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  Options options;
+  const poptOption table[] = {
+      {"program", 0, POPT_ARG_STRING, &options.program, 0, "another build of the program", "FILE"},
+      {"from", 0, POPT_ARG_LONG, &options.from, 0, "the first seed", "SEED"},
+      {"seeds", 0, POPT_ARG_LONG, &options.seeds, 0, "how many", "N"},
+      {"seconds", 0, POPT_ARG_LONG, &options.seconds, 0, "of trouble in each", "S"},
+      {"core", 0, POPT_ARG_LONG, &options.core, 0, "edges that hold the control state", "N"},
+      {"edges", 0, POPT_ARG_LONG, &options.edges, 0, "other edges", "N"},
+      {"stores", 0, POPT_ARG_LONG, &options.stores, 0, "storage machines", "N"},
+      {"engines", 0, POPT_ARG_LONG, &options.engines, 0, "model servers", "N"},
+      {"clients", 0, POPT_ARG_LONG, &options.clients, 0, "of live requests", "N"},
+      POPT_AUTOHELP{nullptr, 0, 0, nullptr, 0, nullptr, nullptr}};
+  poptContext context = poptGetContext("nettlestand-soak", argc, const_cast<const char**>(argv), table, 0);
+  const bool understood = poptGetNextOpt(context) == -1;
+  poptFreeContext(context);
+  if (!understood) return 2;
+  std::size_t broken = 0;
+  for (long seed = options.from; seed < options.from + options.seeds; ++seed) {
+    const SoakReport report = play_soak(soak_options(options, static_cast<std::uint64_t>(seed)));
+    print(static_cast<std::uint64_t>(seed), report);
+    broken += report.broken.empty() ? 0 : 1;
+  }
+  std::cout << options.seeds << " seeds, " << broken << " broken" << std::endl;
+  return broken == 0 ? 0 : 1;
+}
