--- a/tests/system/item_test.cpp
+++ b/tests/system/item_test.cpp
@@ -122,6 +122,7 @@
     service_->on_placement(steady_now());
   }
   std::uint64_t epoch() const { return table_.sequence; }
+  const JobTable& jobs() const { return *table_of_jobs_; }
 
   // Submits a job and has it accepted.
   void submit(const JobSpec& spec) {
@@ -193,12 +194,13 @@
   // What the copy tells that it holds, once it is asked anew.
   void set_copy_holds(const std::vector<JobDigest>& digests) { digests_ = digests; }
   // A change that another primary sends to this store.
-  void replicate_from(const std::string& primary, const JobChange& change) {
+  void replicate_from(const std::string& primary, const JobChange& change, std::uint64_t number = 1,
+                      std::uint64_t earlier_epochs = 0) {
     Replicate message{};
     message.shard = batch_shard_of(kTenant);
-    message.epoch = epoch();
+    message.epoch = epoch() - earlier_epochs;
     message.to = service_->disk_id();
-    message.batch = 1;
+    message.batch = number;
     message.changes.push_back(change);
     service_->on_replicate(primary, message);
   }
@@ -402,3 +404,29 @@
   REQUIRE(server.arrived().size() == 1);
   CHECK(server.arrived().front().id == "j-1");
 }
+
+TEST_CASE("a copy passes over messages that come behind newer ones, of its primary and of earlier epochs") {
+  ItemServer server;
+  Store store(server);
+  store.place({kStrangerDisk, store.service().disk_id()});
+  JobChange copy{};
+  copy.tenant = kTenant;
+  copy.job = "j";
+  copy.spec.push_back(job_of("j", 2));
+  copy.reset = true;
+  JobChange listed{};
+  listed.tenant = kTenant;
+  listed.job = "j";
+  listed.results.emplace_back();
+  const auto results = [&store] { return store.jobs().find({kTenant, "j"})->results.size(); };
+  store.replicate_from(kStranger, copy, 3);
+  store.replicate_from(kStranger, listed, 5);
+  REQUIRE(results() == 1);
+  store.replicate_from(kStranger, copy, 4);  // a repair of the time before the result
+  CHECK(results() == 1);
+  store.place({kStrangerDisk, store.service().disk_id()});
+  store.replicate_from(kStranger, copy, 9, 1);
+  CHECK(results() == 1);
+  store.replicate_from(kStranger, copy, 1);  // the first message of the new epoch
+  CHECK(results() == 0);
+}
--- a/tests/system/wire_test.cpp
+++ b/tests/system/wire_test.cpp
@@ -1,5 +1,6 @@
 // Answers and their requests on sockets: servers that answer twice, late, without an id or with another's, in
 // part, or not at all; clients that send ahead, close and reset.
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -9,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <mutex>
 #include <thread>
 
 #include "forwarding/forwarder.h"
@@ -148,6 +150,183 @@
   CHECK(got.end == Read::kBroken);
 }
 
+// ---------------------------------------------------------------- long bodies
+
+namespace {
+
+constexpr std::size_t kLongBody = 8U << 20;  // more than sockets hold
+
+std::string long_request(const std::string& id) {
+  std::string body;
+  while (body.size() < kLongBody) body += id + ";";
+  return "POST /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Reads what a connection brings and keeps all bytes of each; answers as soon as a head is there, or stands
+// still behind it until it is let go on.
+class EarlyServer {
+ public:
+  explicit EarlyServer(bool stands_still) : stands_still_(stands_still) {
+    listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in address = loopback(0);
+    REQUIRE(::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
+    REQUIRE(::listen(listener_, 64) == 0);
+    port_ = bound_port(listener_);
+    thread_ = std::thread([this] { run(); });
+  }
+  ~EarlyServer() { stop(); }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  void go_on() { stands_still_ = false; }
+  // What each connection has brought, once all are over.
+  std::vector<std::string> bytes() {
+    stop();
+    return bytes_;
+  }
+
+ private:
+  void stop() {
+    if (!thread_.joinable()) return;
+    ::shutdown(listener_, SHUT_RDWR);
+    thread_.join();
+    for (std::thread& each : connections_) each.join();
+    ::close(listener_);
+  }
+  void run() {
+    for (;;) {
+      const int fd = ::accept(listener_, nullptr, nullptr);
+      if (fd < 0) return;
+      const std::lock_guard lock(mutex_);
+      const std::size_t at = bytes_.size();
+      bytes_.emplace_back();
+      connections_.emplace_back([this, fd, at] { serve(fd, at); });
+    }
+  }
+  void serve(int fd, std::size_t at) {
+    std::string all, rest;
+    std::size_t left = 0;  // of the present body
+    for (;;) {
+      char bytes[16384];
+      const ssize_t got = ::recv(fd, bytes, sizeof(bytes), 0);
+      if (got <= 0) break;
+      all.append(bytes, static_cast<std::size_t>(got));
+      rest.append(bytes, static_cast<std::size_t>(got));
+      const std::size_t of_body = std::min(left, rest.size());
+      rest.erase(0, of_body);
+      left -= of_body;
+      const std::size_t head = left == 0 ? rest.find("\r\n\r\n") : std::string::npos;
+      if (head == std::string::npos) continue;
+      left = std::stoul(rest.substr(rest.find("Content-Length: ") + 16));
+      send_all(fd, "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Request-Id: " + id_of(rest) +
+                       "\r\nKeep-Alive: timeout=9\r\nContent-Length: 0\r\n\r\n");
+      rest.erase(0, head + 4);
+      while (stands_still_) std::this_thread::yield();
+    }
+    ::close(fd);
+    const std::lock_guard lock(mutex_);
+    bytes_[at] = std::move(all);
+  }
+
+  std::mutex mutex_;
+  std::vector<std::string> bytes_;
+  std::vector<std::thread> connections_;
+  std::atomic<bool> stands_still_;
+  int listener_ = -1;
+  std::uint16_t port_ = 0;
+  std::thread thread_;
+};
+
+asio::awaitable<Read> send_long(UpstreamConnections& connections, std::string address, std::string id,
+                                Millis patience, Millis leaves_after) {
+  const Millis deadline = steady_now() + patience;
+  const UpstreamPtr connection = co_await connections.open(address, deadline, false);
+  if (!connection) co_return Read::kBroken;
+  asio::steady_timer leaving(co_await asio::this_coro::executor);
+  if (leaves_after > 0) {
+    leaving.expires_after(std::chrono::milliseconds(leaves_after));
+    leaving.async_wait([connection](boost::system::error_code error) {
+      if (!error) connection->cancel();
+    });
+  }
+  bool sent = false;
+  Read out = Read::kBroken;
+  if (co_await connection->send(long_request(id), id, false, deadline, sent)) {
+    ResponseHead head;
+    out = co_await connection->read_head(head, deadline);
+    std::string bytes;
+    while (out == Read::kOk) out = co_await connection->read_some(bytes, deadline);
+  }
+  leaving.cancel();
+  connections.finish(address, connection);
+  co_return out;
+}
+
+// Each connection has brought whole requests, and behind them at most the beginning of one.
+void check_bytes(const std::vector<std::string>& connections, const std::vector<std::string>& ids) {
+  for (std::string rest : connections) {
+    while (!rest.empty()) {
+      const std::string expected = long_request(id_of(rest));
+      CHECK(std::find(ids.begin(), ids.end(), id_of(rest)) != ids.end());
+      const std::size_t size = std::min(rest.size(), expected.size());
+      REQUIRE(rest.compare(0, size, expected, 0, size) == 0);
+      rest.erase(0, size);
+    }
+  }
+}
+
+}  // namespace
+
+TEST_CASE(
+    "a server that answers before it has read a body gets the rest of that body, and then the next request") {
+  EarlyServer server(false);
+  const std::vector<std::string> ids = {"one", "two", "three"};
+  asio::io_context io;
+  {
+    UpstreamConnections connections(io);
+    std::vector<Read> ends;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+          for (const std::string& id : ids)
+            ends.push_back(co_await send_long(connections, server.address(), id, kPatienceMs, 0));
+        },
+        asio::detached);
+    io.run();
+    CHECK(ends == std::vector<Read>(ids.size(), Read::kEnd));
+  }
+  const std::vector<std::string> bytes = server.bytes();
+  CHECK(bytes.size() == 1);  // the connection was kept
+  check_bytes(bytes, ids);
+}
+
+TEST_CASE("a body that is given up midway is followed by nothing on its connection") {
+  const bool leaves = GENERATE(false, true);  // or its time is up
+  INFO("leaves " << leaves);
+  constexpr Millis kMidway = 100;
+  EarlyServer server(true);
+  const std::vector<std::string> ids = {"given-up", "next"};
+  asio::io_context io;
+  {
+    UpstreamConnections connections(io);
+    Read first = Read::kOk, second = Read::kOk;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+          first = co_await send_long(connections, server.address(), ids[0], leaves ? kPatienceMs : kMidway,
+                                     leaves ? kMidway : 0);
+          server.go_on();
+          second = co_await send_long(connections, server.address(), ids[1], kPatienceMs, 0);
+        },
+        asio::detached);
+    io.run();
+    CHECK(first != Read::kEnd);
+    CHECK(second == Read::kEnd);
+  }
+  const std::vector<std::string> bytes = server.bytes();
+  CHECK(bytes.size() == 2);
+  check_bytes(bytes, ids);
+}
+
 // ---------------------------------------------------------------- attempts
 
 namespace {
