--- a/src/batch/item_runner.cpp
+++ b/src/batch/item_runner.cpp
@@ -134,6 +134,13 @@
   asio::co_spawn(io_, send(run, std::move(request), std::move(sink)), asio::detached);
 }
 
+void ItemRunner::withheld(const JobKey& key, std::uint32_t item, StartReason reason) {
+  const PrimaryTerm term = hooks_.term(key);
+  NETTLESTAND_WARNING("item withheld, its body has changed job="
+                      << key.id << " item=" << table_.find(key)->spec.items[item].id << " reason="
+                      << name_of(reason) << " epoch=" << term.epoch << " tenure=" << term.tenure);
+}
+
 bool ItemRunner::may_send(RunId run, const JobKey& key, const std::string& service) {
   const Millis now = steady_now();
   if (!schedule_.may_send(run) || !follower_.is_fresh(now) || !hooks_.may_run(now, key)) return false;
--- a/src/batch/item_runner.h
+++ b/src/batch/item_runner.h
@@ -32,6 +32,7 @@
   bool can_start() const override;
   bool has_room(Millis now, const Job& job) override;
   void start(Millis now, const ItemRun& run) override;
+  void withheld(const JobKey& key, std::uint32_t item, StartReason reason) override;
   void decided(Millis now, const JobKey& key, JobResult result) override;
   void abandon(RunId run) override;
 
--- a/src/batch/item_schedule.cpp
+++ b/src/batch/item_schedule.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "node/log.h"
-
 namespace nettlestand::tier {
 namespace {
 
@@ -152,10 +150,7 @@
   ++own.starts;
   if (!job.has_body(item)) {
     own.phase = Phase::kWithheld;
-    NETTLESTAND_WARNING("item withheld, its body has changed job="
-                        << key.id << " item=" << job.spec.items[item].id << " start=" << own.starts
-                        << " reason=" << name_of(own.reason));
-    return;
+    return host_.withheld(key, item, own.reason);
   }
   own.phase = Phase::kRunning;
   own.run = ++last_run_;
--- a/src/batch/item_schedule.h
+++ b/src/batch/item_schedule.h
@@ -78,6 +78,8 @@
   // Whether a server has room for an item of the job that was not sent before.
   virtual bool has_room(Millis now, const Job& job) = 0;
   virtual void start(Millis now, const ItemRun& run) = 0;
+  // An item that was to be started, and is not, since its body is not the one that was accepted.
+  virtual void withheld(const JobKey& key, std::uint32_t item, StartReason reason) = 0;
   // A result that is decided; it is told once.
   virtual void decided(Millis now, const JobKey& key, JobResult result) = 0;
   // A run that no longer counts.
--- a/tests/system/schedule_test.cpp
+++ b/tests/system/schedule_test.cpp
@@ -67,6 +67,9 @@
     }
     runs_.emplace(run.id, Running{run, true});
   }
+  void withheld(const JobKey& key, std::uint32_t item, StartReason) override {
+    FAIL_CHECK("no body changes here, and one is missing: " << key.id << " " << item);
+  }
   void decided(Millis, const JobKey& key, JobResult result) override {
     CHECK(decided_.insert({key, result.item}).second);
     on_their_way_.emplace_back(key, std::move(result));
--- a/tools/simulate/cluster.cpp
+++ b/tools/simulate/cluster.cpp
@@ -179,6 +179,9 @@
   }
   bool can_start() const override { return under_way_ < kMostRunning; }
   bool has_room(Millis, const Job&) override { return can_start(); }
+  void withheld(const JobKey& key, std::uint32_t, StartReason) override {
+    cluster_.history_.fail("an item was to be sent with another body: " + key.id);
+  }
   void decided(Millis now, const JobKey& key, JobResult result) override {
     hooks_.done(now, key, std::move(result));
   }
