--- a/tools/soak/disturbances.cpp
+++ b/tools/soak/disturbances.cpp
@@ -28,7 +28,7 @@
 // ---------------------------------------------------------------- processes
 
 void Disturbances::restart_later(std::size_t node, Millis at) {
-  due_.emplace(at, [this, node] {
+  returns_.emplace(at, [this, node] {
     if (!world_.is_running(node)) world_.start(node);
   });
 }
@@ -53,7 +53,7 @@
   const Millis gap = static_cast<Millis>(below(1500));
   for (std::size_t i = 0; i < count; ++i) {
     const std::size_t node = (first + i) % world_.nodes();
-    due_.emplace(steady_now() + static_cast<Millis>(i) * gap, [this, node] { terminate(node); });
+    strikes_.emplace(steady_now() + static_cast<Millis>(i) * gap, [this, node] { terminate(node); });
   }
 }
 
@@ -72,7 +72,7 @@
   ledger_.on_unplanned(node, now, now + time + kCatchUpMs);
   ++signals_;
   world_.signal(node, SIGSTOP);
-  due_.emplace(now + time, [this, node] {
+  returns_.emplace(now + time, [this, node] {
     if (world_.is_running(node)) world_.signal(node, SIGCONT);
   });
 }
@@ -103,7 +103,7 @@
   std::vector<standins::Platform::Entry> list = world_.listed();
   list[below(list.size())].state = "draining";
   world_.platform().set_servers(list);
-  due_.emplace(steady_now() + 2000, [this] { world_.platform().set_servers(world_.listed()); });
+  returns_.emplace(steady_now() + 2000, [this] { world_.platform().set_servers(world_.listed()); });
 }
 
 void Disturbances::set_engine(EngineMode mode, Millis time) {
@@ -111,7 +111,7 @@
   const Millis now = steady_now();
   ledger_.on_unplanned_everywhere(now, now + time);
   world_.engine(engine).set_mode(mode);
-  due_.emplace(now + time, [this, engine] { world_.engine(engine).set_mode(EngineMode::kStream); });
+  returns_.emplace(now + time, [this, engine] { world_.engine(engine).set_mode(EngineMode::kStream); });
 }
 
 // ---------------------------------------------------------------- time
@@ -153,10 +153,10 @@
   }
 }
 
-void Disturbances::act_on_due() {
-  while (!due_.empty() && due_.begin()->first <= steady_now()) {
-    const std::function<void()> act = std::move(due_.begin()->second);
-    due_.erase(due_.begin());
+void Disturbances::act_on_due(Schedule& schedule) {
+  while (!schedule.empty() && schedule.begin()->first <= steady_now()) {
+    const std::function<void()> act = std::move(schedule.begin()->second);
+    schedule.erase(schedule.begin());
     act();
   }
 }
@@ -165,7 +165,8 @@
   Millis next = steady_now();
   while (steady_now() < end) {
     watch_processes();
-    act_on_due();
+    act_on_due(returns_);
+    act_on_due(strikes_);
     if (steady_now() >= next) {
       strike();
       next = steady_now() + static_cast<Millis>(below(kMostPauseMs));
@@ -176,6 +177,7 @@
 }
 
 void Disturbances::recover() {
+  strikes_.clear();
   const Millis until = steady_now() + kRecoverMs;
   const auto all_run = [this] {
     for (std::size_t node = 0; node < world_.nodes(); ++node) {
@@ -184,10 +186,10 @@
     }
     return true;
   };
-  while (!due_.empty() || !ending_.empty() || !all_run()) {
+  while (!returns_.empty() || !ending_.empty() || !all_run()) {
     if (steady_now() >= until) return ledger_.fail("RECOVER: not all nodes are ready once all is calm");
     watch_processes();
-    act_on_due();
+    act_on_due(returns_);
     pause_for(kStepMs);
   }
 }
--- a/tools/soak/disturbances.h
+++ b/tools/soak/disturbances.h
@@ -34,7 +34,8 @@
  private:
   void strike();
   void strike_unplanned();
-  void act_on_due();
+  using Schedule = std::multimap<Millis, std::function<void()>>;
+  static void act_on_due(Schedule& schedule);
   void watch_processes();
   void terminate(std::size_t node);
   void reload(std::size_t node);
@@ -51,7 +52,8 @@
   Ledger& ledger_;
   Profile profile_;
   std::mt19937_64 random_;
-  std::multimap<Millis, std::function<void()>> due_;
+  Schedule strikes_;                      // what is still to come of series
+  Schedule returns_;                      // what ends a trouble
   std::map<std::size_t, Millis> ending_;  // nodes that were told to end, since when
   std::size_t signals_ = 0;
 };
