--- a/src/batch/item_runner.cpp
+++ b/src/batch/item_runner.cpp
@@ -151,14 +151,13 @@
 }
 
 asio::awaitable<void> ItemRunner::send(ItemRun run, ForwardRequest request, std::shared_ptr<TextSink> sink) {
-  const int max_attempts = request.route->max_attempts;
   const ForwardResult result = co_await forwarder_.forward(std::move(request), *sink);
   sinks_.erase(run.id);
   RunOutcome outcome;
   outcome.end = end_of(result, sink->is_stream());
   outcome.text = sink->take(result.last_event);
   const Millis now = steady_now();
-  schedule_.on_end(now, run.id, std::move(outcome), max_attempts);
+  schedule_.on_end(now, run.id, std::move(outcome));
   schedule_.pump(now);
 }
 
--- a/src/batch/item_schedule.cpp
+++ b/src/batch/item_schedule.cpp
@@ -125,11 +125,12 @@
 bool ItemSchedule::start_one(Millis now, const JobKey& key) {
   const Job* job = table_.find(key);
   if (job == nullptr || !host_.can_start()) return false;
-  if (host_.rules_of(now, *job).state != ItemRules::State::kOpen) return false;
+  const ItemRules rules = host_.rules_of(now, *job);
+  if (rules.state != ItemRules::State::kOpen) return false;
   JobState& state = states_[key];
   const auto item = next_item(now, *job, state);
   if (!item) return false;
-  start(now, key, *job, state, *item);
+  start(now, key, *job, rules, state, *item);
   return true;
 }
 
@@ -144,7 +145,8 @@
   return state.next++;
 }
 
-void ItemSchedule::start(Millis now, const JobKey& key, const Job& job, JobState& state, std::uint32_t item) {
+void ItemSchedule::start(Millis now, const JobKey& key, const Job& job, const ItemRules& rules,
+                         JobState& state, std::uint32_t item) {
   Item& own = state.items[item];
   state.retry.erase(item);
   ++own.starts;
@@ -154,7 +156,7 @@
   }
   own.phase = Phase::kRunning;
   own.run = ++last_run_;
-  runs_.emplace(own.run, Running{key, item});
+  runs_.emplace(own.run, Running{key, item, rules.max_attempts});
   ItemRun run;
   run.id = own.run;
   run.key = key;
@@ -165,10 +167,10 @@
   host_.start(now, run);
 }
 
-void ItemSchedule::on_end(Millis now, RunId run, RunOutcome outcome, int max_attempts) {
+void ItemSchedule::on_end(Millis now, RunId run, RunOutcome outcome) {
   const auto running = runs_.find(run);
   if (running == runs_.end()) return;
-  const auto [key, index] = running->second;
+  const auto [key, index, max_attempts] = running->second;
   runs_.erase(running);
   JobState& state = states_.at(key);
   Item& item = state.items.at(index);
--- a/src/batch/item_schedule.h
+++ b/src/batch/item_schedule.h
@@ -63,7 +63,7 @@
   };
   State state = State::kUnknown;
   double max_wait_s = 0;  // 0: no limit
-  int max_attempts = 1;
+  int max_attempts = 1;   // answers of 500 after which an item is given up
 };
 
 // What the schedule asks of its host, and tells it.
@@ -94,7 +94,7 @@
   // first.
   void pump(Millis now);
   // The end of a run; without effect where the run no longer counts.
-  void on_end(Millis now, RunId run, RunOutcome outcome, int max_attempts);
+  void on_end(Millis now, RunId run, RunOutcome outcome);
   // Whether a run may still reach a server: asked right before each send.
   bool may_send(RunId run) const;
   // The end of a job was asked for: nothing of it starts any more, and what runs is abandoned.
@@ -127,6 +127,7 @@
   struct Running {
     JobKey key;
     std::uint32_t item = 0;
+    int max_attempts = 1;  // as at its start
   };
   using JobsByTenant = std::map<std::string, std::vector<JobKey>>;
 
@@ -137,7 +138,8 @@
   void give_up_overdue(Millis now, const JobKey& key, const Job& job);
   void start_in_turn(Millis now, const JobsByTenant& jobs);
   bool start_one(Millis now, const JobKey& key);
-  void start(Millis now, const JobKey& key, const Job& job, JobState& state, std::uint32_t item);
+  void start(Millis now, const JobKey& key, const Job& job, const ItemRules& rules, JobState& state,
+             std::uint32_t item);
   void decide(Millis now, const JobKey& key, std::uint32_t item, ResultState result, std::string text);
   void abandon_runs(JobState& state);
 
--- a/tools/soak/kept_connection.cpp
+++ b/standins/tier/kept_connection.cpp
@@ -1,6 +1,5 @@
-#include "soak/kept_connection.h"
+#include "standins/tier/kept_connection.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <cctype>
@@ -8,13 +7,15 @@
 
 #include "messaging/network.h"
 
-namespace nettlestand::tier::soak {
+namespace nettlestand::tier::standins {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
 using boost::system::error_code;
 
+constexpr std::uint64_t kMostBody = 64U << 20;
+
 bool KeptConnection::open(const std::string& address, Millis timeout) {
   buffer_.clear();
   stream_ = std::make_unique<beast::tcp_stream>(io_);
@@ -27,9 +28,10 @@
   return is_open();
 }
 
-Answer KeptConnection::exchange(const std::string& request, Millis timeout) {
-  Answer out;
+HttpResult KeptConnection::exchange(const std::string& request, Millis timeout) {
+  HttpResult out;
   http::response_parser<http::string_body> parser;
+  parser.body_limit(kMostBody);
   error_code result = asio::error::would_block;
   stream_->expires_after(std::chrono::milliseconds(timeout));
   asio::async_write(*stream_, asio::buffer(request), [&](error_code failed, std::size_t) {
@@ -53,10 +55,4 @@
   return out;
 }
 
-void pause_for(Millis time) {
-  asio::io_context io;
-  asio::steady_timer timer(io, std::chrono::milliseconds(time));
-  timer.wait();
-}
-
-}  // namespace nettlestand::tier::soak
+}  // namespace nettlestand::tier::standins
--- a/tools/soak/kept_connection.h
+++ b/standins/tier/kept_connection.h
@@ -10,9 +10,9 @@
 
 #include "base/time.h"
 
-namespace nettlestand::tier::soak {
+namespace nettlestand::tier::standins {
 
-struct Answer {
+struct HttpResult {
   int status = 0;                              // 0: no whole head came
   bool complete = false;                       // the body is whole
   bool whole_sent = false;                     // the whole request was written
@@ -27,7 +27,7 @@
   bool is_open() const { return stream_ != nullptr; }
   void close() { stream_.reset(); }
   // Sends a request and reads its answer. The connection closes where the node closes it, or on any fault.
-  Answer exchange(const std::string& request, Millis timeout);
+  HttpResult exchange(const std::string& request, Millis timeout);
 
  private:
   boost::asio::io_context io_;
@@ -35,7 +35,4 @@
   boost::beast::flat_buffer buffer_;
 };
 
-// Between the requests of a client that is no benchmark.
-void pause_for(Millis time);
-
-}  // namespace nettlestand::tier::soak
+}  // namespace nettlestand::tier::standins
--- a/standins/tier/tier_world.cpp
+++ b/standins/tier/tier_world.cpp
@@ -6,23 +6,15 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <boost/asio/connect.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
 
-#include "messaging/network.h"
-
 namespace nettlestand::tier::standins {
 namespace {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
-
 constexpr int kFrontPort = 18405, kReadyPort = 18406, kControlPort = 18407, kInternalPort = 17660;
 constexpr int kPlatformPort = 18408, kEnginePort = 19000;
 // The last byte of addresses: nodes from 1 on, then engines and the platform.
@@ -183,37 +175,14 @@
 
 HttpResult TierWorld::call(const std::string& address, const std::string& method, const std::string& target,
                            const HeaderList& headers, const std::string& body, int timeout_ms) const {
-  HttpResult out;
-  asio::io_context io;
-  beast::tcp_stream stream(io);
-  stream.expires_after(std::chrono::milliseconds(timeout_ms));
   std::string request =
       method + " " + target + " HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
   for (const auto& [name, value] : headers) request += name + ": " + value + "\r\n";
   request += "\r\n" + body;
-  beast::flat_buffer buffer;
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(64U << 20);
-  boost::system::error_code result = asio::error::would_block;
-  stream.async_connect(parse_endpoint(address), [&](boost::system::error_code error) {
-    if (error) return;
-    asio::async_write(stream, asio::buffer(request), [&](boost::system::error_code failed, std::size_t) {
-      if (failed) return;
-      http::async_read(stream, buffer, parser,
-                       [&](boost::system::error_code end, std::size_t) { result = end; });
-    });
-  });
-  io.run();
-  if (!parser.is_header_done()) return out;
-  out.status = static_cast<int>(parser.get().result_int());
-  out.complete = !result;
-  out.body = parser.get().body();
-  for (const auto& field : parser.get()) {
-    std::string name(field.name_string().data(), field.name_string().size());
-    for (char& c : name) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-    out.headers[name] = std::string(field.value().data(), field.value().size());
-  }
-  return out;
+  const Millis until = steady_now() + timeout_ms;
+  KeptConnection connection;
+  if (!connection.open(address, timeout_ms)) return {};
+  return connection.exchange(request, std::max<Millis>(until - steady_now(), 1));
 }
 
 std::string TierWorld::front_address(std::size_t node) const {
--- a/standins/tier/tier_world.h
+++ b/standins/tier/tier_world.h
@@ -9,16 +9,10 @@
 #include <vector>
 
 #include "standins/tier/engine.h"
+#include "standins/tier/kept_connection.h"
 
 namespace nettlestand::tier::standins {
 
-struct HttpResult {
-  int status = 0;                              // 0: no whole head came
-  std::map<std::string, std::string> headers;  // names in lower case
-  std::string body;
-  bool complete = false;  // the body is whole
-};
-
 struct WorldOptions {
   std::string program;
   std::size_t core = 3, plain_edges = 1, stores = 3, engines = 3;
--- a/tests/system/item_test.cpp
+++ b/tests/system/item_test.cpp
@@ -126,40 +126,19 @@
 
   // Submits a job and has it accepted.
   void submit(const JobSpec& spec) {
-    JobCall call{};
-    call.call = ++calls_;
-    call.kind = JobCallKind::kSubmit;
-    call.tenant = kTenant;
-    call.job = spec.id;
+    JobCall call = call_on(JobCallKind::kSubmit, spec.id);
     call.spec.push_back(spec);
-    hear_leader();
-    service_->on_job_call(steady_now(), kEdge, call);
+    send(call);
     answer_as_copy();
     REQUIRE(reply_to(call.call).status == 202);
   }
   // Asks for a job's end; its outcome is left open.
-  void ask_end(const std::string& job) {
-    JobCall call{};
-    call.call = ++calls_;
-    call.kind = JobCallKind::kEnd;
-    call.tenant = kTenant;
-    call.job = job;
-    hear_leader();
-    service_->on_job_call(steady_now(), kEdge, call);
-  }
+  void ask_end(const std::string& job) { send(call_on(JobCallKind::kEnd, job)); }
   std::string read(const std::string& job) {
-    JobCall call{};
-    call.call = ++calls_;
-    call.kind = JobCallKind::kRead;
-    call.tenant = kTenant;
-    call.job = job;
-    hear_leader();
-    service_->on_job_call(steady_now(), kEdge, call);
+    const JobCall call = call_on(JobCallKind::kRead, job);
+    send(call);
     return reply_to(call.call).body;
   }
-  bool has_result(const std::string& job, const std::string& item) {
-    return read(job).find("\"id\":\"" + item + "\"") != std::string::npos;
-  }
 
   // As the copy: answers what was sent to it, until nothing more is. `later` is added to the store's clock.
   void answer_as_copy(Millis later = 0) {
@@ -239,6 +218,18 @@
   }
 
  private:
+  JobCall call_on(JobCallKind kind, const std::string& job) {
+    JobCall out{};
+    out.call = ++calls_;
+    out.kind = kind;
+    out.tenant = kTenant;
+    out.job = job;
+    return out;
+  }
+  void send(const JobCall& call) {
+    hear_leader();
+    service_->on_job_call(steady_now(), kEdge, call);
+  }
   static FollowerSettings store_follower() {
     FollowerSettings out;
     out.is_store = true;
--- a/tests/system/schedule_test.cpp
+++ b/tests/system/schedule_test.cpp
@@ -123,7 +123,7 @@
     outcome.end = static_cast<RunEnd>(below(5));
     if (outcome.end == RunEnd::kCompleted) outcome.text = PartialText{"text", 4, true};
     const std::size_t before = on_their_way_.size();
-    schedule_.on_end(now_, running.run.id, std::move(outcome), kAttempts);
+    schedule_.on_end(now_, running.run.id, std::move(outcome));
     if (!running.counts) CHECK(on_their_way_.size() == before);
   }
   void commit() {
--- a/tests/system/scripted_server.h
+++ b/tests/system/scripted_server.h
@@ -78,51 +78,74 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-// A server that does what a script says with each request: false ends the connection.
-class ScriptedServer {
+// Accepts connections on loopback and serves each on a thread of its own.
+class LoopbackListener {
  public:
-  using Script = std::function<bool(int fd, int number, const std::string& request)>;
-  explicit ScriptedServer(Script script) : script_(std::move(script)) {
+  // `number`: of the connection, from 0.
+  using Serve = std::function<void(int fd, std::size_t number)>;
+  explicit LoopbackListener(Serve serve) : serve_(std::move(serve)) {
     listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
     const sockaddr_in address = loopback(0);
     REQUIRE(::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
     REQUIRE(::listen(listener_, 64) == 0);
     port_ = bound_port(listener_);
-    thread_ = std::thread([this] { run(); });
+    thread_ = std::thread([this] { accept_all(); });
   }
-  ~ScriptedServer() {
-    stopping_ = true;
+  ~LoopbackListener() { stop(); }
+  LoopbackListener(const LoopbackListener&) = delete;
+  LoopbackListener& operator=(const LoopbackListener&) = delete;
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  int accepted() const { return accepted_; }
+  // Waits until all connections are over; takes no further ones.
+  void stop() {
+    if (!thread_.joinable()) return;
     ::shutdown(listener_, SHUT_RDWR);
     thread_.join();
     for (std::thread& each : connections_) each.join();
     ::close(listener_);
   }
-  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
-  int requests() const { return requests_; }
-  int connections() const { return accepted_; }
 
  private:
-  void run() {
-    while (!stopping_) {
+  void accept_all() {
+    for (;;) {
       const int fd = ::accept(listener_, nullptr, nullptr);
       if (fd < 0) return;
-      ++accepted_;
-      connections_.emplace_back([this, fd] { serve(fd); });
+      const auto number = static_cast<std::size_t>(accepted_++);
+      connections_.emplace_back([this, fd, number] {
+        serve_(fd, number);
+        ::close(fd);
+      });
     }
   }
+
+  Serve serve_;
+  int listener_ = -1;
+  std::uint16_t port_ = 0;
+  std::vector<std::thread> connections_;
+  std::atomic<int> accepted_{0};
+  std::thread thread_;
+};
+
+// A server that does what a script says with each request: false ends the connection.
+class ScriptedServer {
+ public:
+  using Script = std::function<bool(int fd, int number, const std::string& request)>;
+  explicit ScriptedServer(Script script) : script_(std::move(script)) {}
+  std::string address() const { return listener_.address(); }
+  int requests() const { return requests_; }
+  int connections() const { return listener_.accepted(); }
+
+ private:
   void serve(int fd) {
     std::string rest;
     for (;;) {
       const std::string request = read_message(fd, rest);
-      if (request.empty() || !script_(fd, ++requests_, request)) break;
+      if (request.empty() || !script_(fd, ++requests_, request)) return;
     }
-    ::close(fd);
   }
+
   Script script_;
-  int listener_ = -1;
-  std::uint16_t port_ = 0;
-  std::thread thread_;
-  std::vector<std::thread> connections_;
-  std::atomic<int> requests_{0}, accepted_{0};
-  std::atomic<bool> stopping_{false};
+  std::atomic<int> requests_{0};
+  LoopbackListener listener_{[this](int fd, std::size_t) { serve(fd); }};
 };
--- a/tests/system/wire_test.cpp
+++ b/tests/system/wire_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <thread>
 
@@ -167,42 +168,19 @@
 // still behind it until it is let go on.
 class EarlyServer {
  public:
-  explicit EarlyServer(bool stands_still) : stands_still_(stands_still) {
-    listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in address = loopback(0);
-    REQUIRE(::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
-    REQUIRE(::listen(listener_, 64) == 0);
-    port_ = bound_port(listener_);
-    thread_ = std::thread([this] { run(); });
-  }
-  ~EarlyServer() { stop(); }
-  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  explicit EarlyServer(bool stands_still) : stands_still_(stands_still) {}
+  std::string address() const { return listener_.address(); }
   void go_on() { stands_still_ = false; }
   // What each connection has brought, once all are over.
   std::vector<std::string> bytes() {
-    stop();
-    return bytes_;
+    listener_.stop();
+    std::vector<std::string> out;
+    for (const auto& [number, all] : bytes_) out.push_back(all);
+    return out;
   }
 
  private:
-  void stop() {
-    if (!thread_.joinable()) return;
-    ::shutdown(listener_, SHUT_RDWR);
-    thread_.join();
-    for (std::thread& each : connections_) each.join();
-    ::close(listener_);
-  }
-  void run() {
-    for (;;) {
-      const int fd = ::accept(listener_, nullptr, nullptr);
-      if (fd < 0) return;
-      const std::lock_guard lock(mutex_);
-      const std::size_t at = bytes_.size();
-      bytes_.emplace_back();
-      connections_.emplace_back([this, fd, at] { serve(fd, at); });
-    }
-  }
-  void serve(int fd, std::size_t at) {
+  void serve(int fd, std::size_t number) {
     std::string all, rest;
     std::size_t left = 0;  // of the present body
     for (;;) {
@@ -222,18 +200,14 @@
       rest.erase(0, head + 4);
       while (stands_still_) std::this_thread::yield();
     }
-    ::close(fd);
     const std::lock_guard lock(mutex_);
-    bytes_[at] = std::move(all);
+    bytes_[number] = std::move(all);
   }
 
   std::mutex mutex_;
-  std::vector<std::string> bytes_;
-  std::vector<std::thread> connections_;
+  std::map<std::size_t, std::string> bytes_;  // by the connection's number
   std::atomic<bool> stands_still_;
-  int listener_ = -1;
-  std::uint16_t port_ = 0;
-  std::thread thread_;
+  LoopbackListener listener_{[this](int fd, std::size_t number) { serve(fd, number); }};
 };
 
 asio::awaitable<Read> send_long(UpstreamConnections& connections, std::string address, std::string id,
--- a/tools/simulate/cluster.cpp
+++ b/tools/simulate/cluster.cpp
@@ -219,7 +219,7 @@
   void finish(const ItemRun& run, RunOutcome outcome) {
     --under_way_;
     const Millis now = cluster_.clock_of(machine_);
-    schedule_.on_end(now, run.id, std::move(outcome), kItemAttempts);
+    schedule_.on_end(now, run.id, std::move(outcome));
     schedule_.pump(now);
   }
   void later(Millis span, std::function<void()> act) {
--- a/tools/soak/clients.cpp
+++ b/tools/soak/clients.cpp
@@ -3,6 +3,9 @@
 #include <absl/strings/escaping.h>
 #include <rapidjson/document.h>
 
+#include <chrono>
+#include <thread>
+
 namespace nettlestand::tier::soak {
 namespace {
 
@@ -32,11 +35,11 @@
 void LiveClient::run() {
   while (!context_.stopping) {
     if (!connection_.is_open() && !connect()) {
-      pause_for(5);
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
       continue;
     }
     request_once();
-    pause_for(static_cast<Millis>(below(kThinkMs)));
+    std::this_thread::sleep_for(std::chrono::milliseconds(below(kThinkMs)));
   }
 }
 
@@ -84,7 +87,7 @@
   context_.ledger.on_sent(request);
   // Some leave in the middle of their answer, or of their own request.
   const bool leaves = below(50) == 0;
-  const Answer answer =
+  const standins::HttpResult answer =
       connection_.exchange(bytes, leaves ? 1 + static_cast<Millis>(below(20)) : kClientPatienceMs);
   Outcome outcome;
   outcome.status = answer.status;
@@ -102,11 +105,11 @@
 
 // ---------------------------------------------------------------- jobs
 
-Answer JobClient::call(const std::string& method, const std::string& target, const std::string& id,
-                       const std::string& body) {
-  KeptConnection connection;  // a new one for each call
+standins::HttpResult JobClient::call(const std::string& method, const std::string& target,
+                                     const std::string& id, const std::string& body) {
+  standins::KeptConnection connection;  // a new one for each call
   const std::size_t node = below(context_.world.edges());
-  Answer none;
+  standins::HttpResult none;
   if (!context_.world.ready(node) || !connection.open(context_.world.front_address(node), kConnectMs))
     return none;
   return connection.exchange(method + " " + target + " HTTP/1.1\r\nHost: " + kHost +
@@ -125,7 +128,7 @@
     if (!open.empty()) read(open[below(open.size())]);
     if (!open.empty() && below(4) == 0) ask_body(open[below(open.size())]);
     if (!open.empty() && below(8) == 0) end(open[below(open.size())]);
-    pause_for(kReadEveryMs);
+    std::this_thread::sleep_for(std::chrono::milliseconds(kReadEveryMs));
   }
 }
 
@@ -147,7 +150,7 @@
   context_.ledger.on_job(job);
   bool refused = true;
   for (std::size_t tries = 0; tries < kSubmitTries; ++tries) {
-    const Answer answer = call("POST", "/jobs/x", job.id, body);
+    const standins::HttpResult answer = call("POST", "/jobs/x", job.id, body);
     if (answer.status == kAccepted) return context_.ledger.on_job_answer(job.id, true, false);
     refused = refused && (answer.status == kTooMany || answer.status == kUnavailable);
   }
@@ -155,7 +158,8 @@
 }
 
 void JobClient::read(const SubmittedJob& job) {
-  const Answer answer = call("GET", "/nettlestand/lots/" + job.id + "?start_after=0", "read", "");
+  const standins::HttpResult answer =
+      call("GET", "/nettlestand/lots/" + job.id + "?start_after=0", "read", "");
   if (!answer.complete) return;
   if (answer.status == kNotFound) return context_.ledger.on_job_missing(job.id);
   if (answer.status != kOk) return;
@@ -173,7 +177,8 @@
 void JobClient::ask_body(const SubmittedJob& job) {
   auto item = job.bodies.begin();
   std::advance(item, static_cast<std::ptrdiff_t>(below(job.bodies.size())));
-  const Answer answer = call("GET", "/nettlestand/items/" + job.id + "?id=" + item->first, "body", "");
+  const standins::HttpResult answer =
+      call("GET", "/nettlestand/items/" + job.id + "?id=" + item->first, "body", "");
   if (answer.complete && answer.status == kOk && answer.body != item->second)
     context_.ledger.fail("MIXED: a body with other bytes: " + item->first);
 }
@@ -181,7 +186,7 @@
 void JobClient::end(const SubmittedJob& job) {
   context_.ledger.on_job_end_asked(job.id);
   for (int i = 0; i < 2; ++i) {
-    const Answer answer = call("DELETE", "/nettlestand/lots/" + job.id, "end", "");
+    const standins::HttpResult answer = call("DELETE", "/nettlestand/lots/" + job.id, "end", "");
     if (answer.complete && answer.status == kNotFound) context_.ledger.on_job_missing(job.id);
   }
 }
--- a/tools/soak/clients.h
+++ b/tools/soak/clients.h
@@ -7,7 +7,6 @@
 #include <random>
 #include <string>
 
-#include "soak/kept_connection.h"
 #include "soak/ledger.h"
 #include "standins/tier/tier_world.h"
 
@@ -44,7 +43,7 @@
   std::mt19937_64 random_;
   std::uint64_t number_, sent_ = 0;
   std::size_t node_ = 0;
-  KeptConnection connection_;
+  standins::KeptConnection connection_;
 };
 
 // Submits jobs, reads them from any node, asks for bodies, and ends some of them, also twice.
@@ -61,8 +60,8 @@
   void read(const SubmittedJob& job);
   void ask_body(const SubmittedJob& job);
   void end(const SubmittedJob& job);
-  Answer call(const std::string& method, const std::string& target, const std::string& id,
-              const std::string& body);
+  standins::HttpResult call(const std::string& method, const std::string& target, const std::string& id,
+                            const std::string& body);
   std::uint64_t below(std::uint64_t bound) { return random_() % bound; }
 
   ClientContext context_;
--- a/tools/soak/disturbances.cpp
+++ b/tools/soak/disturbances.cpp
@@ -2,6 +2,9 @@
 
 #include <signal.h>
 
+#include <chrono>
+#include <thread>
+
 #include "soak/clients.h"
 
 namespace nettlestand::tier::soak {
@@ -171,7 +174,7 @@
       strike();
       next = steady_now() + static_cast<Millis>(below(kMostPauseMs));
     }
-    pause_for(kStepMs);
+    std::this_thread::sleep_for(std::chrono::milliseconds(kStepMs));
   }
   recover();
 }
@@ -190,7 +193,7 @@
     if (steady_now() >= until) return ledger_.fail("RECOVER: not all nodes are ready once all is calm");
     watch_processes();
     act_on_due(returns_);
-    pause_for(kStepMs);
+    std::this_thread::sleep_for(std::chrono::milliseconds(kStepMs));
   }
 }
 
--- a/tools/soak/operators.cpp
+++ b/tools/soak/operators.cpp
@@ -1,5 +1,8 @@
 #include "soak/operators.h"
 
+#include <chrono>
+#include <thread>
+
 #include "soak/clients.h"
 
 namespace nettlestand::tier::soak {
@@ -50,7 +53,7 @@
       ledger_.fail("CONFIG: the only operator's valid change got " + std::to_string(status));
       return false;
     }
-    pause_for(kAgainMs);
+    std::this_thread::sleep_for(std::chrono::milliseconds(kAgainMs));
   }
   // Left open: what follows builds on the version that stands, which may be either.
   version_ = base;
@@ -64,7 +67,7 @@
     const std::uint64_t before = version_;
     has_passing_key_ = !has_passing_key_;
     if (!change(kOrderMs, true) && version_ == before) return;  // stopped, with its outcome open
-    pause_for(static_cast<Millis>(random_() % kMostPauseMs));
+    std::this_thread::sleep_for(std::chrono::milliseconds(random_() % kMostPauseMs));
   }
 }
 
