Keep a burst of items near the room where servers have less of it than there are stores

Change: where a server has less room than there are stores with items, it is open to some of them (twice the room, as most have none at a time), each server to others; a store that has no item out may always send one. Sites with more room than stores are untouched. System.forwarding 13 cases; the burst of 45 nodes fails on the code before, 45 items a server.

--- a/src/forwarding/server_pool.cpp
+++ b/src/forwarding/server_pool.cpp
@@ -18,6 +18,8 @@
 constexpr Millis kShunMs = 700;     // doubled with each further failure
 constexpr Millis kMostShunMs = 3000;
 constexpr double kItemShare = 0.8;     // of a server's slots that items may fill
+constexpr double kOpenTimes = 2;       // x the nodes that a server has room for may send it an item untold:
+                                       // most have none at a time
 constexpr Millis kLoadFreshMs = 400;   // what a server told of its load counts for so long
 constexpr int kSilentItems = 2;        // items at a server that wait for their first byte, from one node
 constexpr double kCrowdedShare = 0.7;  // of a server's slots
@@ -98,15 +100,26 @@
   return server.silent > 0 && server.last_byte + patience(server.told.service) < now;
 }
 
-bool ServerPool::may_use(Millis now, const Server& server, bool is_item) const {
+bool ServerPool::may_use(Millis now, const Server& server, CallKind kind) const {
   if (server.told.draining || now < server.shunned_until || looks_dead(now, server)) return false;
-  if (!is_item) return server.slots <= 0 || server.in_flight < server.slots;
+  if (kind == CallKind::kLive) return server.slots <= 0 || server.in_flight < server.slots;
   if (server.silent_items >= kSilentItems) return false;
   if (server.slots <= 0) return true;
   const double room = kItemShare * server.slots;
   const bool told = server.load_at + kLoadFreshMs >= now;
   if (told) return server.running + server.waiting + server.sent_since_load < room;
-  return server.items < std::max(1, static_cast<int>(room / static_cast<double>(item_nodes_)));
+  return server.items < (kind == CallKind::kOnlyItem ? 1 : untold_items(server));
+}
+
+// Items that this node may have at a server that has not told its load just now: its share of the room. Where
+// there is less room than nodes, a server is open to some of the nodes for one item each, and each server to
+// others.
+int ServerPool::untold_items(const Server& server) const {
+  const double share = kItemShare * server.slots / static_cast<double>(item_nodes_);
+  if (share >= 1) return static_cast<int>(share);
+  const std::size_t nodes = std::max<std::size_t>(overall_.count, 1);
+  const std::size_t turn = (quinceusher::hash_of(server.told.id) + overall_.index) % nodes;
+  return static_cast<double>(turn) < kOpenTimes * share * static_cast<double>(nodes) ? 1 : 0;
 }
 
 bool ServerPool::is_crowded(Millis now, const Server& server) const {
@@ -115,14 +128,14 @@
 }
 
 const ServerPool::Server* ServerPool::choose(Millis now, const std::vector<std::string>& ids,
-                                             const std::vector<std::string>& tried, bool is_item,
+                                             const std::vector<std::string>& tried, CallKind kind,
                                              bool skip_crowded) {
   std::vector<const Server*> choice;
   for (const std::string& id : ids) {
     if (std::find(tried.begin(), tried.end(), id) != tried.end()) continue;
     const Server& server = servers_.at(id);
     if (skip_crowded && is_crowded(now, server)) continue;
-    if (may_use(now, server, is_item)) choice.push_back(&server);
+    if (may_use(now, server, kind)) choice.push_back(&server);
   }
   if (choice.empty()) return nullptr;
   const Server* a = choice[random_.below(choice.size())];
@@ -135,9 +148,13 @@
   const auto found = services_.find(service);
   if (found == services_.end()) return std::nullopt;
   const ServiceView& view = found->second;
-  const Server* chosen = choose(now, view.near_subset, tried, is_item, true);
-  if (chosen == nullptr) chosen = choose(now, view.subset, tried, is_item, true);
-  if (chosen == nullptr) chosen = choose(now, view.all, tried, is_item, false);  // before a call is refused
+  const CallKind kind = is_item ? CallKind::kItem : CallKind::kLive;
+  const Server* chosen = choose(now, view.near_subset, tried, kind, true);
+  if (chosen == nullptr) chosen = choose(now, view.subset, tried, kind, true);
+  if (chosen == nullptr) chosen = choose(now, view.all, tried, kind, false);  // before a call is refused
+  // Whoever is open nowhere would never hear of any room.
+  if (chosen == nullptr && is_item && items_in_flight(service) == 0)
+    chosen = choose(now, view.all, tried, CallKind::kOnlyItem, false);
   if (chosen == nullptr) return std::nullopt;
   return ChosenServer{chosen->told.id, chosen->told.address};
 }
--- a/src/forwarding/server_pool.h
+++ b/src/forwarding/server_pool.h
@@ -101,12 +101,18 @@
   };
   void rebuild(ServiceView& view);
   std::vector<std::string> subset_of_ring(const std::vector<std::string>& ring, Position position) const;
+  enum class CallKind : std::uint8_t {
+    kLive,
+    kItem,
+    kOnlyItem  // of a node that has no other out at the service
+  };
   // The less busy of two random ones out of those that may be used; null where there are none.
   const Server* choose(Millis now, const std::vector<std::string>& ids, const std::vector<std::string>& tried,
-                       bool is_item, bool skip_crowded);
+                       CallKind kind, bool skip_crowded);
   // Whether a server of this zone is so full that one elsewhere is worth the way.
   bool is_crowded(Millis now, const Server& server) const;
-  bool may_use(Millis now, const Server& server, bool is_item) const;
+  bool may_use(Millis now, const Server& server, CallKind kind) const;
+  int untold_items(const Server& server) const;
   bool looks_dead(Millis now, const Server& server) const;
 
   quinceusher::Random random_;
--- a/tests/system/forwarding_test.cpp
+++ b/tests/system/forwarding_test.cpp
@@ -176,6 +176,53 @@
   CHECK(sent == 8);  // eight tenths of ten slots
 }
 
+// Pools of so many nodes that all have items, before servers that have told nothing.
+std::vector<ServerPool> pools_of(std::size_t nodes, const std::vector<ListedServer>& listed) {
+  std::vector<ServerPool> out;
+  for (std::size_t i = 0; i < nodes; ++i) {
+    out.emplace_back(i + 1);
+    out.back().set_servers(listed);
+    out.back().set_position({i, nodes}, {});
+    out.back().set_item_nodes(nodes);
+  }
+  return out;
+}
+
+TEST_CASE("where servers have less room than nodes, a burst of items at all nodes stays near the room") {
+  constexpr std::size_t kNodes = 45, kServers = 100;
+  std::vector<ServerPool> pools = pools_of(kNodes, servers(kServers));
+  std::map<std::string, int> items;
+  for (ServerPool& pool : pools) {
+    int sent = 0;
+    while (const auto chosen = pool.pick(0, "s", {}, true)) {
+      pool.on_sent(0, chosen->id, true);
+      pool.on_first_byte(0, chosen->id, 1, true);
+      ++items[chosen->id];
+      REQUIRE(++sent < 1000);
+    }
+    CHECK(sent >= 20);  // each node has servers enough of its own
+  }
+  CHECK(items.size() == kServers);
+  for (const auto& [id, count] : items) {
+    INFO(id);
+    CHECK(count <= 16);  // twice eight tenths of ten slots, and not one of each node
+    CHECK(count >= 8);
+  }
+}
+
+TEST_CASE("a node that no server is open to has one item out all the same, and hears of room by it") {
+  constexpr std::size_t kNodes = 200;
+  std::vector<ServerPool> pools = pools_of(kNodes, servers(2));
+  for (ServerPool& pool : pools) {
+    const auto first = pool.pick(0, "s", {}, true);
+    REQUIRE(first);
+    pool.on_sent(0, first->id, true);
+    pool.on_first_byte(0, first->id, 1, true);
+    pool.on_load(0, first->id, 1, 0, 10);
+    CHECK(pool.pick(0, "s", {}, true));
+  }
+}
+
 TEST_CASE("which ends prove that a call did not run") {
   for (const CallEnd end : {CallEnd::kNotExecuted, CallEnd::kGone, CallEnd::kNotSent}) CHECK(never_ran(end));
   for (const CallEnd end :
