Measure how late a world's loop is on the loop itself, and tell what the machine waited for

The watching thread asked the loop and looked for its answer; where the whole process stood still, the thread stood still with it, and found the answer there when it woke. Now a timer on the loop measures, from the begin of a play to its end, and the record of a void play tells what somebody waited for (core, disk, memory, pages read) meanwhile. Lateness.OfTheLoopIsTold... holds up loop and watching thread together.

--- a/standins/world/world.cpp
+++ b/standins/world/world.cpp
@@ -19,7 +19,6 @@
 constexpr double kTurn = 0.02;        // s; of a process that is starved
 constexpr double kLookEvery = 1;      // s between looks at who waited for a core
 constexpr double kLookForEnd = 0.02;  // s
-constexpr double kLoopEvery = 0.02;   // s between looks at whether the stand-ins keep up
 constexpr double kMostLate = 0.1;     // s; later than that, and a run is void
 constexpr double kMostWaited = 0.25;  // s of that, beyond which a run is void
 
@@ -279,6 +278,8 @@
   std::atomic<std::size_t> ended = 0;
   for (const auto& load : loads_) load->start([&ended] { ++ended; });
   next_look_ = now() + kLookEvery;
+  const LoopBeat beat(thread_.loop());
+  const MachineWaits before = MachineWaits::now();
   while (ended < loads_.size() || (!due_.empty() && due_.begin()->first < from + seconds + 1)) {
     while (!due_.empty() && due_.begin()->first <= now()) {
       const auto f = std::move(due_.begin()->second);
@@ -286,7 +287,6 @@
       f();
     }
     if (now() >= next_look_) watch_starvation();
-    watch_loop();
     std::this_thread::sleep_for(kStep);
   }
   // What was to end later ends now: the world is well again.
@@ -297,6 +297,8 @@
     f();
   }
   ending_ = false;
+  starvation_.count_loop(beat.most_late());
+  starvation_.machine = MachineWaits::now().since(before);
 }
 
 void ProcessWorld::watch_starvation() {
@@ -313,20 +315,11 @@
   }
 }
 
-// The stand-ins are a part of the measure: where their loop comes late, what they do to calls is no fault of
-// the nodes'.
-void ProcessWorld::watch_loop() {
-  const double late = now() - loop_asked_;
-  if (loop_answered_ && late > kLoopEvery) {
-    loop_answered_ = false;
-    loop_asked_ = now();
-    thread_.loop().post([this] { loop_answered_ = true; });
-    return;
-  }
-  if (loop_answered_ || late <= kMostLate || late <= starvation_.loop_late) return;
-  starvation_.loop_late = late;
-  starvation_.is_void = true;
-  if (starvation_.whose.empty()) starvation_.whose = "the stand-ins' loop";
+void Starvation::count_loop(double late) {
+  if (late <= kMostLate || late <= loop_late) return;
+  loop_late = late;
+  is_void = true;
+  if (whose.empty()) whose = "the stand-ins' loop";
 }
 
 void ProcessWorld::note(const WorldFault& fault, const char* kind) {
@@ -578,9 +571,9 @@
     complaint = play(starvation);
     is_void = starvation.is_void;
     if (!is_void) return complaint;
-    std::fprintf(stderr,
-                 "void: %s; waited %.2f s of a second for a core, the stand-ins' loop late by %.2f s\n",
-                 starvation.whose.c_str(), starvation.most, starvation.loop_late);
+    std::fprintf(
+        stderr, "void: %s; waited %.2f s of a second for a core, the stand-ins' loop late by %.2f s; %s\n",
+        starvation.whose.c_str(), starvation.most, starvation.loop_late, starvation.machine.text().c_str());
   }
   return complaint;
 }
--- a/standins/world/world.h
+++ b/standins/world/world.h
@@ -16,6 +16,7 @@
 #include "standins/links/network.h"
 #include "standins/seams/control.h"
 #include "standins/servers/server.h"
+#include "standins/world/lateness.h"
 #include "standins/world/node_process.h"
 #include "standins/world/timeline.h"
 
@@ -55,7 +56,12 @@
   double most = 0;       // s in one second that a process waited for a core, with no script that wanted it so
   std::string whose;     // which
   double loop_late = 0;  // s that the stand-ins' own loop was late at the most, where that was too much
+  MachineWaits machine;  // meanwhile
   bool is_void = false;
+
+  // Counts how late the stand-ins' loop was: they are a part of the measure, and what their lateness does to
+  // calls and to nodes' words is no fault of the nodes'.
+  void count_loop(double late);
 };
 
 // Not for two threads at once.
@@ -77,6 +83,8 @@
 
   const std::vector<Member>& members() const { return members_; }
   Network& network() { return *network_; }
+  // Of all stand-ins of this world.
+  Loop& loop() { return thread_.loop(); }
   ScriptedDiscovery& discovery() { return *discovery_; }
   ScriptedServer& server(std::size_t i) { return *servers_[i]; }
   NodeProcess& node(std::size_t i) { return *nodes_[i]; }
@@ -115,7 +123,6 @@
   void note(const WorldFault& fault, const char* kind);
   std::string duties_of(std::size_t i);
   void watch_starvation();
-  void watch_loop();
 
   WorldSettings s_;
   LoopThread thread_;
@@ -140,8 +147,7 @@
   std::vector<ProcessTimes> seen_;
   std::multimap<double, std::function<void()>> due_;  // what this thread is to do, and when
   Starvation starvation_;
-  double began_ = 0, start_took_ = 0, next_look_ = 0, loop_asked_ = 0;
-  std::atomic<bool> loop_answered_ = true;
+  double began_ = 0, start_took_ = 0, next_look_ = 0;
   int peer_port_ = 0;   // of all nodes' sockets for each other
   int voter_port_ = 0;  // where voters listen
   std::vector<Fd> voter_ports_;
--- a/tests/lab/world_test.cpp
+++ b/tests/lab/world_test.cpp
@@ -10,6 +10,7 @@
 #include <random>
 #include <sstream>
 
+#include "standins/world/lateness.h"
 #include "tests/process_worlds.h"
 
 namespace nettlestand::standins {
@@ -55,6 +56,58 @@
   return nullptr;
 }
 
+// ------------------------------------------------------------ whether a run counts
+
+// Keeps a thread busy, without giving it away.
+void spin(double seconds) {
+  for (const double until = now() + seconds; now() < until;) continue;
+}
+
+// As where the whole process stands still: whoever watches from outside is held up as long as the loop.
+TEST(Lateness, OfTheLoopIsToldThoughTheWatchingThreadWasHeldUpWithIt) {
+  LoopThread thread;
+  const LoopBeat beat(thread.loop());
+  thread.loop().call([] { spin(0.3); });
+  thread.loop().call([] {});
+  ASSERT_TRUE(ProcessWorld::until([&] { return beat.most_late() > 0.2; }, 5));
+  Starvation starvation;
+  starvation.count_loop(beat.most_late());
+  EXPECT_TRUE(starvation.is_void);
+  EXPECT_GT(starvation.loop_late, 0.2);
+}
+
+TEST(Lateness, BelowTheBoundMakesNoRunVoid) {
+  Starvation starvation;
+  starvation.count_loop(0.09);
+  EXPECT_FALSE(starvation.is_void);
+  EXPECT_EQ(starvation.loop_late, 0);
+  starvation.count_loop(0.11);
+  starvation.count_loop(0.05);
+  EXPECT_TRUE(starvation.is_void);
+  EXPECT_EQ(starvation.loop_late, 0.11);
+}
+
+// A world whose stand-ins were held up by one of its own calls is void, whatever else it says.
+TEST(Lateness, OfAWorldsLoopMakesItVoid) {
+  ProcessWorld w(settings(1, 1));
+  w.start();
+  w.loop().call([&w] { w.loop().after(0.3, [] { spin(0.4); }); });
+  w.play("", 0.8);
+  w.finish();
+  EXPECT_TRUE(w.starvation().is_void);
+  EXPECT_GT(w.starvation().loop_late, 0.1);
+}
+
+TEST(Lateness, TellsWhatTheMachineWaitedForMeanwhile) {
+  MachineWaits before, after;
+  before.io = 1;
+  after.io = 3.5;
+  after.major_faults = 7;
+  EXPECT_EQ(after.since(before).text(),
+            "some process waited 0.00 s for a core, 2.50 s for a disk, 0.00 s for memory; 7 pages read");
+  EXPECT_GE(MachineWaits::now().cpu, 0);
+}
+
 // ------------------------------------------------------------ the script
 
 const std::vector<Member> kCast = {
