--- /dev/null
+++ b/src/batch/change_writer.cpp
@@ -0,0 +1,43 @@
+#include "batch/change_writer.h"
+
+#include <utility>
+
+#include "node/log.h"
+
+namespace nettlestand::tier {
+
+void ChangeWriter::submit(storage::DiskQueue::Write write, storage::DiskQueue::Done done) {
+  ++under_way_;
+  queue_.submit(std::move(write), [this, done = std::move(done)](Millis now, const absl::Status& status) {
+    --under_way_;
+    note_status(status);
+    done(now, status);
+  });
+}
+
+void ChangeWriter::append(std::shared_ptr<const std::vector<JobChange>> changes, Done done) {
+  const auto queued = std::make_shared<std::size_t>(0);
+  const auto write = [this, changes = std::move(changes), queued] {
+    for (const JobChange& change : *changes) {
+      if (absl::Status status = journal_.append(change); !status.ok()) return status;
+      ++*queued;
+    }
+    return absl::OkStatus();
+  };
+  submit(write, [done = std::move(done), queued](Millis now, const absl::Status& status) {
+    done(now, status, *queued);
+  });
+}
+
+// Logs when the disk begins to refuse writes, and when it takes them again.
+void ChangeWriter::note_status(const absl::Status& status) {
+  if (status.ok() != disk_refuses_) return;
+  disk_refuses_ = !status.ok();
+  if (disk_refuses_) {
+    NETTLESTAND_WARNING("journal failed error=" << status.message());
+  } else {
+    NETTLESTAND_INFO("journal is written again");
+  }
+}
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/batch/copy_receiver.cpp
@@ -0,0 +1,71 @@
+#include "batch/copy_receiver.h"
+
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+#include "batch/item_digest.h"
+#include "node/log.h"
+
+namespace nettlestand::tier {
+
+// Only the primary of the very epoch that is known here is listened to; it sends again what was not answered.
+bool CopyReceiver::is_from_primary(const std::string& from, const Replicate& message) const {
+  const PlacementTable& placement = follower_.state().placement();
+  const ShardPlacement* row = placement.row(message.shard);
+  if (row == nullptr || row->epoch != message.epoch || row->members.empty()) return false;
+  if (row->members.front() == self_) return false;
+  const StoreRecord* sender = placement.store(row->members.front());
+  return sender != nullptr && sender->address == from;
+}
+
+// A message of an older connection may be read after one of the connection that came in its place.
+bool CopyReceiver::is_late(const Replicate& message) {
+  LastMessage& last = last_messages_[message.shard];
+  if (last.epoch == message.epoch && message.number < last.number) return true;
+  last = {message.epoch, message.number};
+  return false;
+}
+
+void CopyReceiver::check_bodies(const Replicate& message) {
+  for (const JobChange& change : message.changes) {
+    const std::size_t changed = changed_items(change);
+    if (changed == 0) continue;
+    body_check_.on_difference(BodyStep::kCopy, changed);
+    NETTLESTAND_WARNING("bodies are not their client's job=" << change.job << " items=" << changed
+                                                             << " step=" << name_of(BodyStep::kCopy));
+  }
+}
+
+void CopyReceiver::on_replicate(const std::string& from, const Replicate& message) {
+  if (message.to != self_ || !is_from_primary(from, message)) return;
+  if (is_late(message)) return;
+  const auto is_foreign = [&message](const JobChange& change) {
+    return batch_shard_of(change.tenant) != message.shard;
+  };
+  if (std::any_of(message.changes.begin(), message.changes.end(), is_foreign)) return;
+  check_bodies(message);
+  const auto shared = std::make_shared<const Replicate>(message);
+  const std::shared_ptr<const std::vector<JobChange>> changes(shared, &shared->changes);
+  // Also where nothing is to be written: a digest tells of all that came before.
+  writer_.append(changes, [this, from, shared](Millis now, const absl::Status& status, std::size_t queued) {
+    for (std::size_t i = 0; i < queued; ++i) table_.apply(now, shared->changes[i]);
+    if (status.ok()) acknowledge(from, *shared);
+  });
+}
+
+void CopyReceiver::acknowledge(const std::string& from, const Replicate& message) {
+  ReplicateReply reply{};
+  reply.shard = message.shard;
+  reply.epoch = message.epoch;
+  reply.number = message.number;
+  reply.from = self_;
+  reply.accepted = true;
+  if (message.digest_wanted) {
+    reply.has_digest = true;
+    for (const JobKey& key : table_.keys_of(message.shard)) reply.digest.push_back(table_.digest(key));
+  }
+  messenger_.send(from, encode_message(MessageType::kReplicateReply, reply));
+}
+
+}  // namespace nettlestand::tier
--- /dev/null
+++ b/src/batch/copy_receiver.h
@@ -0,0 +1,50 @@
+// The part of a store that keeps copies of other stores' shards: takes changes from their primaries, has them
+// written, and acknowledges them.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "base/body_check.h"
+#include "batch/change_writer.h"
+#include "batch/job_table.h"
+#include "control/follower.h"
+#include "messaging/messenger.h"
+
+namespace nettlestand::tier {
+
+class CopyReceiver {
+ public:
+  CopyReceiver(Messenger& messenger, const ControlFollower& follower, JobTable& table, ChangeWriter& writer,
+               BodyCheck& body_check, StoreId self)
+      : messenger_(messenger),
+        follower_(follower),
+        table_(table),
+        writer_(writer),
+        body_check_(body_check),
+        self_(self) {}
+
+  void on_replicate(const std::string& from, const Replicate& message);
+
+ private:
+  // The last message of a shard's primary that was taken: older ones, which come late, change nothing.
+  struct LastMessage {
+    std::uint64_t epoch = 0;
+    MessageNumber number{};
+  };
+  bool is_from_primary(const std::string& from, const Replicate& message) const;
+  bool is_late(const Replicate& message);
+  void check_bodies(const Replicate& message);
+  void acknowledge(const std::string& from, const Replicate& message);
+
+  Messenger& messenger_;
+  const ControlFollower& follower_;
+  JobTable& table_;
+  ChangeWriter& writer_;
+  BodyCheck& body_check_;
+  StoreId self_;
+  std::map<std::uint32_t, LastMessage> last_messages_;
+};
+
+}  // namespace nettlestand::tier
--- a/src/batch/item_runner.cpp
+++ b/src/batch/item_runner.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <utility>
 
+#include "base/digest.h"
 #include "forwarding/event_stream.h"
 #include "forwarding/request_headers.h"
 #include "node/log.h"
@@ -71,15 +73,25 @@
       hooks_(std::move(hooks)),
       schedule_(table, *this) {}
 
-const Route* ItemRunner::route_of(const Job& job) const {
+void ItemRunner::pump(Millis) {
+  if (pump_requested_) return;
+  pump_requested_ = true;
+  asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_)] {
+    if (alive.expired()) return;
+    pump_requested_ = false;
+    schedule_.pump(steady_now());
+  });
+}
+
+const Route* ItemRunner::route_named(const std::string& name) const {
   const auto configuration = follower_.configuration();
-  return configuration ? configuration->route_named(job.spec.route) : nullptr;
+  return configuration ? configuration->route_named(name) : nullptr;
 }
 
-ItemRules ItemRunner::rules_of(Millis now, const Job& job) {
+ItemRules ItemRunner::rules_of(Millis now, const std::string& name) {
   ItemRules out;
   if (!follower_.configuration() || !follower_.is_fresh(now)) return out;
-  const Route* route = route_of(job);
+  const Route* route = route_named(name);
   out.state = route == nullptr ? ItemRules::State::kRouteGone : ItemRules::State::kOpen;
   if (route == nullptr) return out;
   out.max_wait_s = route->max_wait_s;
@@ -89,9 +101,13 @@
 
 bool ItemRunner::can_start() const { return sinks_.size() < kMaxRunning; }
 
-bool ItemRunner::has_room(Millis now, const Job& job) {
-  const Route* route = route_of(job);
-  return route != nullptr && forwarder_.pool().pick(now, route->split.front().service, {}, true).has_value();
+// What was started and is not offered to a server yet takes its room all the same.
+bool ItemRunner::has_room(Millis now, const std::string& name) {
+  const Route* route = route_named(name);
+  if (route == nullptr) return false;
+  return std::any_of(route->split.begin(), route->split.end(), [&](const ServiceWeight& part) {
+    return part.weight > 0 && forwarder_.pool().item_room(now, part.service) > unsent_[part.service];
+  });
 }
 
 ForwardRequest ItemRunner::request_for(Millis now, const ItemRun& run, const Job& job) const {
@@ -111,6 +127,7 @@
   }
   out.headers = forwarded_headers(fields);
   out.body = item.body;
+  out.body_digest = digest_of(item.body);
   out.deadline = now + kItemDeadlineMs;
   out.is_item = true;
   out.last_event_id = run.held.last_event;
@@ -131,12 +148,13 @@
   };
   auto sink = std::make_shared<TextSink>(run.held);
   sinks_.emplace(run.id, sink);
+  ++unsent_[request.service];
   asio::co_spawn(io_, send(run, std::move(request), std::move(sink)), asio::detached);
 }
 
 void ItemRunner::withheld(const JobKey& key, std::uint32_t item, StartReason reason) {
   const PrimaryTerm term = hooks_.term(key);
-  NETTLESTAND_WARNING("item withheld, its body has changed job="
+  NETTLESTAND_WARNING("item withheld, it is not what its client sent job="
                       << key.id << " item=" << table_.find(key)->spec.items[item].id << " reason="
                       << name_of(reason) << " epoch=" << term.epoch << " tenure=" << term.tenure);
 }
@@ -144,13 +162,14 @@
 bool ItemRunner::may_send(RunId run, const JobKey& key, const std::string& service) {
   const Millis now = steady_now();
   if (!schedule_.may_send(run) || !follower_.is_fresh(now) || !hooks_.may_run(now, key)) return false;
-  const Route* route = route_of(*table_.find(key));
+  const Route* route = route_named(table_.find(key)->spec.route);
   return route != nullptr &&
          std::any_of(route->split.begin(), route->split.end(),
                      [&](const ServiceWeight& part) { return part.service == service && part.weight > 0; });
 }
 
 asio::awaitable<void> ItemRunner::send(ItemRun run, ForwardRequest request, std::shared_ptr<TextSink> sink) {
+  --unsent_[request.service];  // the forwarder counts it from here on
   const ForwardResult result = co_await forwarder_.forward(std::move(request), *sink);
   sinks_.erase(run.id);
   RunOutcome outcome;
@@ -158,7 +177,7 @@
   outcome.text = sink->take(result.last_event);
   const Millis now = steady_now();
   schedule_.on_end(now, run.id, std::move(outcome));
-  schedule_.pump(now);
+  pump(now);
 }
 
 void ItemRunner::decided(Millis now, const JobKey& key, JobResult result) {
--- a/src/batch/item_runner.h
+++ b/src/batch/item_runner.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <string>
 
 #include "batch/item_schedule.h"
 #include "batch/job_runner.h"
@@ -20,7 +21,9 @@
   ItemRunner(boost::asio::io_context& io, Forwarder& forwarder, ControlFollower& follower,
              const JobTable& table, Hooks hooks);
 
-  void pump(Millis now) override { schedule_.pump(now); }
+  // Asks for a round of the schedule in the next turn of the event loop: what several events of one turn ask
+  // for is one round.
+  void pump(Millis now) override;
   void stop(const JobKey& key) override { schedule_.stop(key); }
   void forget(const JobKey& key) override { schedule_.forget(key); }
 
@@ -28,16 +31,16 @@
   class TextSink;
 
   bool may_run(Millis now, const JobKey& key) override { return hooks_.may_run(now, key); }
-  ItemRules rules_of(Millis now, const Job& job) override;
+  ItemRules rules_of(Millis now, const std::string& route) override;
   bool can_start() const override;
-  bool has_room(Millis now, const Job& job) override;
+  bool has_room(Millis now, const std::string& route) override;
   void start(Millis now, const ItemRun& run) override;
   void withheld(const JobKey& key, std::uint32_t item, StartReason reason) override;
   void decided(Millis now, const JobKey& key, JobResult result) override;
   void abandon(RunId run) override;
 
-  // The route of a job in the configuration in force; null where it has none.
-  const Route* route_of(const Job& job) const;
+  // A route in the configuration in force; null where there is none of that name.
+  const Route* route_named(const std::string& name) const;
   ForwardRequest request_for(Millis now, const ItemRun& run, const Job& job) const;
   bool may_send(RunId run, const JobKey& key, const std::string& service);
   boost::asio::awaitable<void> send(ItemRun run, ForwardRequest request, std::shared_ptr<TextSink> sink);
@@ -49,6 +52,9 @@
   Hooks hooks_;
   ItemSchedule schedule_;
   std::map<RunId, std::shared_ptr<TextSink>> sinks_;  // of the runs that are under way
+  std::map<std::string, std::size_t> unsent_;         // started and not offered to a server yet, by service
+  bool pump_requested_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for what waits in the event loop
 };
 
 }  // namespace nettlestand::tier
--- a/src/batch/item_schedule.cpp
+++ b/src/batch/item_schedule.cpp
@@ -1,6 +1,6 @@
 #include "batch/item_schedule.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace nettlestand::tier {
 namespace {
@@ -8,6 +8,7 @@
 constexpr Millis kRetryMs = 120;         // before an item that was turned away is offered again
 constexpr Millis kFailureRetryMs = 300;  // after a server's own error
 constexpr Millis kOverdueSlackMs = 500;  // beyond the route's max_wait_s
+constexpr Millis kOverdueLookMs = 100;   // between looks for items that are overdue
 constexpr double kMillisPerSecond = 1000;
 
 bool is_overdue(Millis now, const Job& job, const ItemRules& rules) {
@@ -70,34 +71,44 @@
 }
 
 void ItemSchedule::pump_once(Millis now) {
-  const JobsByTenant jobs = open_jobs(now);
-  for (const auto& [tenant, keys] : jobs) {
-    for (const JobKey& key : keys) {
-      if (const Job* job = table_.find(key)) give_up_overdue(now, key, *job);
-    }
+  Round round;
+  round.now = now;
+  if (now >= next_overdue_look_) {
+    next_overdue_look_ = now + kOverdueLookMs;
+    give_up_overdue(round);
   }
-  start_in_turn(now, jobs);
+  start_in_turn(round);
 }
 
-ItemSchedule::JobsByTenant ItemSchedule::open_jobs(Millis now) const {
-  std::map<std::string, std::vector<std::pair<Millis, JobKey>>> by_age;
-  for (const auto& [key, job] : table_.jobs()) {
-    if (job.complete() || job.ended || !host_.may_run(now, key)) continue;
-    by_age[key.tenant].emplace_back(job.accepted_at, key);
-  }
-  JobsByTenant out;
-  for (auto& [tenant, jobs] : by_age) {
-    std::sort(jobs.begin(), jobs.end());
-    for (auto& [accepted_at, key] : jobs) out[tenant].push_back(std::move(key));
+const ItemRules& ItemSchedule::rules_of(Round& round, const std::string& route) {
+  const auto known = round.rules.find(route);
+  if (known != round.rules.end()) return known->second;
+  return round.rules.emplace(route, host_.rules_of(round.now, route)).first->second;
+}
+
+// Room only shrinks during a round.
+bool ItemSchedule::has_room(Round& round, const std::string& route) {
+  if (round.full.contains(route)) return false;
+  if (host_.has_room(round.now, route)) return true;
+  round.full.insert(route);
+  return false;
+}
+
+void ItemSchedule::give_up_overdue(Round& round) {
+  for (const std::string& tenant : table_.open_tenants()) {
+    std::optional<OpenJob> at;
+    while ((at = table_.next_open(tenant, at))) {
+      const JobKey key{tenant, at->id};
+      if (host_.may_run(round.now, key)) give_up_if_overdue(round, key, *table_.find(key));
+    }
   }
-  return out;
 }
 
 // Items of a job whose route is gone, or that has waited as long as the route allows.
-void ItemSchedule::give_up_overdue(Millis now, const JobKey& key, const Job& job) {
-  const ItemRules rules = host_.rules_of(now, job);
+void ItemSchedule::give_up_if_overdue(Round& round, const JobKey& key, const Job& job) {
+  const ItemRules& rules = rules_of(round, job.spec.route);
   if (rules.state == ItemRules::State::kUnknown) return;
-  if (rules.state == ItemRules::State::kOpen && !is_overdue(now, job, rules)) return;
+  if (rules.state == ItemRules::State::kOpen && !is_overdue(round.now, job, rules)) return;
   JobState& state = states_[key];
   std::vector<std::uint32_t> overdue;
   for (std::uint32_t item = 0; item < job.spec.items.size(); ++item) {
@@ -107,41 +118,55 @@
   }
   for (const std::uint32_t item : overdue) {
     if (!states_.contains(key)) return;  // the results before have ended the job's time here
-    decide(now, key, item, ResultState::kDeadLetter, "");
+    decide(round.now, key, item, ResultState::kDeadLetter, "");
   }
 }
 
-void ItemSchedule::start_in_turn(Millis now, const JobsByTenant& jobs) {
+void ItemSchedule::start_in_turn(Round& round) {
+  std::vector<Turn> turns;
+  for (std::string& tenant : table_.open_tenants()) turns.push_back({std::move(tenant), std::nullopt, false});
   for (bool progress = true; progress && host_.can_start();) {
     progress = false;
-    for (const auto& [tenant, keys] : jobs) {
-      const bool started =
-          std::any_of(keys.begin(), keys.end(), [&](const JobKey& key) { return start_one(now, key); });
-      progress = progress || started;
+    for (Turn& turn : turns) progress = start_next(round, turn) || progress;
+  }
+}
+
+// Starts one item of the tenant's oldest job that has one to start.
+bool ItemSchedule::start_next(Round& round, Turn& turn) {
+  while (!turn.over && host_.can_start()) {
+    const auto job = table_.next_open(turn.tenant, turn.done);
+    if (!job) {
+      turn.over = true;
+      return false;
     }
+    if (start_one(round, {turn.tenant, job->id})) return true;
+    turn.done = job;
   }
+  return false;
 }
 
-bool ItemSchedule::start_one(Millis now, const JobKey& key) {
-  const Job* job = table_.find(key);
-  if (job == nullptr || !host_.can_start()) return false;
-  const ItemRules rules = host_.rules_of(now, *job);
+bool ItemSchedule::start_one(Round& round, const JobKey& key) {
+  if (!host_.may_run(round.now, key)) return false;
+  const Job& job = *table_.find(key);
+  const ItemRules& rules = rules_of(round, job.spec.route);
   if (rules.state != ItemRules::State::kOpen) return false;
   JobState& state = states_[key];
-  const auto item = next_item(now, *job, state);
+  const auto item = next_item(round, job, state);
   if (!item) return false;
-  start(now, key, *job, rules, state, *item);
+  start(round.now, key, job, rules, state, *item);
   return true;
 }
 
-// Items that were turned away go before those that were never sent: they wait for no room here.
-std::optional<std::uint32_t> ItemSchedule::next_item(Millis now, const Job& job, JobState& state) {
+// Items that were sent before go before those that never were.
+std::optional<std::uint32_t> ItemSchedule::next_item(Round& round, const Job& job, JobState& state) {
   for (const std::uint32_t item : state.retry) {
-    if (may_start(now, job, state, item)) return item;
+    if (!may_start(round.now, job, state, item)) continue;
+    if (!has_room(round, job.spec.route)) return std::nullopt;
+    return item;
   }
   const auto count = static_cast<std::uint32_t>(job.spec.items.size());
-  while (state.next < count && !may_start(now, job, state, state.next)) ++state.next;
-  if (state.next == count || !host_.has_room(now, job)) return std::nullopt;
+  while (state.next < count && !may_start(round.now, job, state, state.next)) ++state.next;
+  if (state.next == count || !has_room(round, job.spec.route)) return std::nullopt;
   return state.next++;
 }
 
@@ -150,7 +175,7 @@
   Item& own = state.items[item];
   state.retry.erase(item);
   ++own.starts;
-  if (!job.has_body(item)) {
+  if (!job.is_intact(item)) {
     own.phase = Phase::kWithheld;
     return host_.withheld(key, item, own.reason);
   }
--- a/src/batch/item_schedule.h
+++ b/src/batch/item_schedule.h
@@ -72,13 +72,13 @@
   virtual ~ItemHost() = default;
   // Whether this store is the job's primary, for certain, and the job is open.
   virtual bool may_run(Millis now, const JobKey& key) = 0;
-  virtual ItemRules rules_of(Millis now, const Job& job) = 0;
+  virtual ItemRules rules_of(Millis now, const std::string& route) = 0;
   // Whether one more run may be under way at all.
   virtual bool can_start() const = 0;
-  // Whether a server has room for an item of the job that was not sent before.
-  virtual bool has_room(Millis now, const Job& job) = 0;
+  // Whether a server has room for one more item of a route, beside those that were started.
+  virtual bool has_room(Millis now, const std::string& route) = 0;
   virtual void start(Millis now, const ItemRun& run) = 0;
-  // An item that was to be started, and is not, since its body is not the one that was accepted.
+  // An item that was to be started, and is not, since it is no longer what its client sent.
   virtual void withheld(const JobKey& key, std::uint32_t item, StartReason reason) = 0;
   // A result that is decided; it is told once.
   virtual void decided(Millis now, const JobKey& key, JobResult result) = 0;
@@ -91,7 +91,7 @@
   ItemSchedule(const JobTable& table, ItemHost& host) : table_(table), host_(host) {}
 
   // Gives up what is overdue and starts what may start: one item of each tenant in turn, of the oldest job
-  // first.
+  // first. A pump that is asked for while one is under way makes that one go round once more.
   void pump(Millis now);
   // The end of a run; without effect where the run no longer counts.
   void on_end(Millis now, RunId run, RunOutcome outcome);
@@ -129,15 +129,29 @@
     std::uint32_t item = 0;
     int max_attempts = 1;  // as at its start
   };
-  using JobsByTenant = std::map<std::string, std::vector<JobKey>>;
+  // What one round over the open jobs has found out, so that it asks its host once for each route.
+  struct Round {
+    Millis now = 0;
+    std::map<std::string, ItemRules> rules;  // by route
+    std::set<std::string> full;              // routes that have no room left
+  };
+  // A tenant's part of a round. Its jobs up to `done` have nothing more that may start.
+  struct Turn {
+    std::string tenant;
+    std::optional<OpenJob> done;
+    bool over = false;
+  };
 
   void pump_once(Millis now);
+  const ItemRules& rules_of(Round& round, const std::string& route);
+  bool has_room(Round& round, const std::string& route);
   bool may_start(Millis now, const Job& job, const JobState& state, std::uint32_t item) const;
-  std::optional<std::uint32_t> next_item(Millis now, const Job& job, JobState& state);
-  JobsByTenant open_jobs(Millis now) const;
-  void give_up_overdue(Millis now, const JobKey& key, const Job& job);
-  void start_in_turn(Millis now, const JobsByTenant& jobs);
-  bool start_one(Millis now, const JobKey& key);
+  std::optional<std::uint32_t> next_item(Round& round, const Job& job, JobState& state);
+  void give_up_overdue(Round& round);
+  void give_up_if_overdue(Round& round, const JobKey& key, const Job& job);
+  void start_in_turn(Round& round);
+  bool start_next(Round& round, Turn& turn);
+  bool start_one(Round& round, const JobKey& key);
   void start(Millis now, const JobKey& key, const Job& job, const ItemRules& rules, JobState& state,
              std::uint32_t item);
   void decide(Millis now, const JobKey& key, std::uint32_t item, ResultState result, std::string text);
@@ -148,6 +162,7 @@
   std::map<JobKey, JobState> states_;
   std::map<RunId, Running> runs_;
   RunId last_run_ = 0;
+  Millis next_overdue_look_ = 0;
   bool pumping_ = false, pump_again_ = false;
 };
 
--- a/src/batch/job_journal.cpp
+++ b/src/batch/job_journal.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <iterator>
 
+#include "base/body_check.h"
+#include "batch/item_digest.h"
 #include "node/log.h"
 
 namespace nettlestand::tier {
@@ -51,7 +53,12 @@
     table = JobTable();
     journal = load(ring, table, now);
   }
-  if (!journal.ok() || (*journal)->disk_id_ != 0) return journal;
+  if (!journal.ok()) return journal;
+  if (const std::size_t changed = (*journal)->changed_bodies_; changed > 0) {
+    NETTLESTAND_WARNING("bodies are not their client's items=" << changed
+                                                               << " step=" << name_of(BodyStep::kRestart));
+  }
+  if ((*journal)->disk_id_ != 0) return journal;
   (*journal)->disk_id_ = new_identity;
   if (absl::Status status = (*journal)->append_identity(); !status.ok()) return status;
   if (absl::Status status = (*journal)->sync(); !status.ok()) return status;
@@ -71,6 +78,7 @@
   JobChange change{};
   decoder.get(change);
   if (!decoder.complete()) return;
+  changed_bodies_ += changed_items(change);
   table.apply(now, change);
   note(change, segment);
 }
--- a/src/batch/job_journal.h
+++ b/src/batch/job_journal.h
@@ -47,6 +47,8 @@
   std::size_t free_segments() const { return ring_->free_segments(); }
   // Rises with each start on this disk.
   std::uint64_t starts() const { return starts_; }
+  // Items that were not what their clients sent when they were read at the start.
+  std::size_t changed_bodies() const { return changed_bodies_; }
 
  private:
   JobJournal() = default;
@@ -60,6 +62,7 @@
   StoreId disk_id_ = 0;
   std::size_t segments_ = 0;
   std::uint64_t starts_ = 0;
+  std::size_t changed_bodies_ = 0;
   std::map<storage::Generation, std::set<JobKey>> jobs_in_;  // jobs with records in a segment
   storage::Generation identity_in_ = 0;
 };
--- /dev/null
+++ b/src/batch/job_page.h
@@ -0,0 +1,14 @@
+// The answer to a read of a job's results, as JSON.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "batch/job_table.h"
+
+namespace nettlestand::tier {
+
+// The results from position `start` on, as many as a page holds, one at least where there is one.
+std::string page_of(const Job& job, std::uint64_t start);
+
+}  // namespace nettlestand::tier
--- a/src/batch/job_table.cpp
+++ b/src/batch/job_table.cpp
@@ -1,48 +1,72 @@
 #include "batch/job_table.h"
 
-#include <xxhash.h>
-
+#include "base/digest.h"
+#include "batch/item_digest.h"
 #include "control/placement.h"
 
 namespace nettlestand::tier {
 namespace {
 
 std::uint64_t chained(std::uint64_t chain, const JobResult& result) {
-  const std::string bytes = encode(result);
-  return XXH64(bytes.data(), bytes.size(), chain);
+  return digest_of(encode(result), chain);
 }
 
-std::uint64_t digest_of(const std::string& body) { return XXH64(body.data(), body.size(), 0); }
-
 }  // namespace
 
-bool Job::has_body(std::uint32_t item) const {
-  return digest_of(spec.items[item].body) == body_digests[item];
-}
+bool Job::is_intact(std::uint32_t item) const { return tier::is_intact(spec.items[item]); }
 
 JobKey key_of(const JobChange& change) { return {change.tenant, change.job}; }
 
 void JobTable::apply(Millis now, const JobChange& change) {
   const JobKey key = key_of(change);
+  auto found = jobs_.find(key);
   if (change.removed) {
-    jobs_.erase(key);
+    if (found == jobs_.end()) return;
+    found->second.ended = true;
+    note_open(key, found->second);
+    jobs_.erase(found);
     return;
   }
-  auto found = jobs_.find(key);
   if (!change.spec.empty() && (found == jobs_.end() || change.reset)) {
     Job job;
     job.spec = change.spec.front();
     job.listed.assign(job.spec.items.size(), false);
     job.accepted_at = found == jobs_.end() ? now : found->second.accepted_at;
-    for (const JobItem& item : job.spec.items) {
-      job.waiting_tokens += item.tokens;
-      job.body_digests.push_back(digest_of(item.body));
-    }
+    for (const JobItem& item : job.spec.items) job.waiting_tokens += item.tokens;
     found = jobs_.insert_or_assign(key, std::move(job)).first;
   }
   if (found == jobs_.end()) return;
   add_results(found->second, change.first_position, change.results);
   if (change.ended) found->second.ended = true;
+  note_open(key, found->second);
+}
+
+void JobTable::note_open(const JobKey& key, const Job& job) {
+  const OpenJob entry{job.accepted_at, key.id};
+  if (job.open()) {
+    open_[key.tenant].insert(entry);
+    return;
+  }
+  const auto tenant = open_.find(key.tenant);
+  if (tenant == open_.end()) return;
+  tenant->second.erase(entry);
+  if (tenant->second.empty()) open_.erase(tenant);
+}
+
+std::vector<std::string> JobTable::open_tenants() const {
+  std::vector<std::string> out;
+  out.reserve(open_.size());
+  for (const auto& [tenant, jobs] : open_) out.push_back(tenant);
+  return out;
+}
+
+std::optional<OpenJob> JobTable::next_open(const std::string& tenant,
+                                           const std::optional<OpenJob>& behind) const {
+  const auto jobs = open_.find(tenant);
+  if (jobs == open_.end()) return std::nullopt;
+  const auto next = behind ? jobs->second.upper_bound(*behind) : jobs->second.begin();
+  if (next == jobs->second.end()) return std::nullopt;
+  return *next;
 }
 
 void JobTable::add_results(Job& job, std::uint32_t first, const std::vector<JobResult>& results) {
--- a/src/batch/job_table.h
+++ b/src/batch/job_table.h
@@ -1,11 +1,12 @@
 // The jobs that a storage machine holds: what every copy applies, change by change. No I/O.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <map>
-#include <memory>
+#include <optional>
+#include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "messaging/messages.h"
@@ -19,17 +20,25 @@
 
 struct Job {
   JobSpec spec{};
-  std::vector<JobResult> results;           // by position
-  std::vector<bool> listed;                 // items that have a result
-  std::vector<std::uint64_t> body_digests;  // of the items' bodies as the job came here
-  std::uint64_t chain = 0;                  // of the results so far: equal chains mean equal results
-  bool ended = false;                       // by its client
-  Millis accepted_at = 0;                   // in this life of the process
-  std::int64_t waiting_tokens = 0;          // of items without a result
+  std::vector<JobResult> results;   // by position
+  std::vector<bool> listed;         // items that have a result
+  std::uint64_t chain = 0;          // of the results so far: equal chains mean equal results
+  bool ended = false;               // by its client
+  Millis accepted_at = 0;           // in this life of the process
+  std::int64_t waiting_tokens = 0;  // of items without a result
 
   bool complete() const { return results.size() == spec.items.size(); }
-  // Whether an item's body is still the one that came with the job: it is given up once the item is listed.
-  bool has_body(std::uint32_t item) const;
+  // Whether items of it may still run.
+  bool open() const { return !complete() && !ended; }
+  // Whether an item still is what its client sent: its body is given up once the item is listed.
+  bool is_intact(std::uint32_t item) const;
+};
+
+// An open job of a tenant, in the order in which its jobs are served: by age.
+struct OpenJob {
+  Millis accepted_at = 0;
+  std::string id;
+  auto operator<=>(const OpenJob&) const = default;
 };
 
 class JobTable {
@@ -42,6 +51,11 @@
   // The jobs of one shard, in the order of their keys.
   std::vector<JobKey> keys_of(std::uint32_t shard) const;
   const std::map<JobKey, Job>& jobs() const { return jobs_; }
+  // Tenants that have open jobs.
+  std::vector<std::string> open_tenants() const;
+  // The oldest open job of a tenant behind another one, or the oldest of all. The table may change between
+  // two such questions.
+  std::optional<OpenJob> next_open(const std::string& tenant, const std::optional<OpenJob>& behind) const;
 
   JobDigest digest(const JobKey& key) const;
   // A change that makes any copy equal to this one.
@@ -51,7 +65,10 @@
 
  private:
   void add_results(Job& job, std::uint32_t first, const std::vector<JobResult>& results);
+  void note_open(const JobKey& key, const Job& job);
+
   std::map<JobKey, Job> jobs_;
+  std::map<std::string, std::set<OpenJob>> open_;  // by tenant
 };
 
 JobKey key_of(const JobChange& change);
--- a/src/batch/shard_primary.cpp
+++ b/src/batch/shard_primary.cpp
@@ -42,6 +42,11 @@
          });
 }
 
+MessageNumber ShardPrimary::next_number() {
+  ++last_number_.message;
+  return last_number_;
+}
+
 Replicate ShardPrimary::message(StoreId to) const {
   Replicate out{};
   out.shard = shard_;
@@ -60,7 +65,7 @@
   queued_.erase(queued_.begin(), end);
   local_durable_ = false;
   for (auto& [id, peer] : peers_) {
-    peer.batch_sent = 0;
+    peer.batch_sent.reset();
     peer.batch_acked = false;
   }
   return batch_;
@@ -72,9 +77,9 @@
 }
 
 void ShardPrimary::repair(Millis now, StoreId id, Peer& peer, std::vector<Replicate>& out) {
-  if (peer.repair != 0 && now < peer.repair_sent_at + kResendMs) return;
-  if (peer.repair == 0) {
-    peer.repair = ++numbers_;
+  if (peer.repair && now < peer.repair_sent_at + kResendMs) return;
+  if (!peer.repair) {
+    peer.repair = next_number();
     peer.repair_changes.clear();
     peer.sent_copies.clear();
     std::size_t bytes = 0;
@@ -87,7 +92,7 @@
   }
   peer.repair_sent_at = now;
   Replicate copies = message(id);
-  copies.batch = peer.repair;
+  copies.number = *peer.repair;
   copies.changes = peer.repair_changes;
   out.push_back(std::move(copies));
 }
@@ -98,9 +103,9 @@
     if (!peer.digested) {
       if (peer.asked_at != 0 && now < peer.asked_at + kResendMs) continue;
       peer.asked_at = now;
-      if (peer.ask == 0) peer.ask = ++numbers_;
+      if (!peer.ask) peer.ask = next_number();
       Replicate ask = message(id);
-      ask.batch = peer.ask;
+      ask.number = *peer.ask;
       ask.digest_wanted = true;
       out.push_back(std::move(ask));
       continue;
@@ -110,11 +115,11 @@
       continue;
     }
     if (batch_.empty() || peer.batch_acked) continue;
-    if (peer.batch_sent != 0 && now < peer.batch_sent_at + kResendMs) continue;
-    if (peer.batch_sent == 0) peer.batch_sent = ++numbers_;
+    if (peer.batch_sent && now < peer.batch_sent_at + kResendMs) continue;
+    if (!peer.batch_sent) peer.batch_sent = next_number();
     peer.batch_sent_at = now;
     Replicate next = message(id);
-    next.batch = peer.batch_sent;
+    next.number = *peer.batch_sent;
     next.changes = batch_;
     out.push_back(std::move(next));
   }
@@ -125,7 +130,7 @@
   const auto found = peers_.find(reply.from);
   if (found == peers_.end() || reply.epoch != row_.epoch || !reply.accepted) return;
   Peer& peer = found->second;
-  if (reply.has_digest && !peer.digested && reply.batch == peer.ask) {
+  if (reply.has_digest && !peer.digested && peer.ask == reply.number) {
     peer.digested = true;
     std::set<JobKey> seen;
     for (const JobDigest& held : reply.digest) {
@@ -138,12 +143,12 @@
     }
     return settle();
   }
-  if (peer.repair != 0 && reply.batch == peer.repair) {
+  if (peer.repair == reply.number) {
     for (const JobKey& key : peer.sent_copies) peer.missing.erase(key);
-    peer.repair = 0;
+    peer.repair.reset();
     return settle();
   }
-  if (!batch_.empty() && peer.batch_sent != 0 && reply.batch == peer.batch_sent) {
+  if (!batch_.empty() && peer.batch_sent == reply.number) {
     peer.batch_acked = true;
     try_commit();
   }
--- a/src/batch/shard_primary.h
+++ b/src/batch/shard_primary.h
@@ -19,11 +19,11 @@
 class ShardPrimary {
  public:
   // `copies`: disks that have to hold a change before it counts. Messages are numbered from behind
-  // `first_number`, above those of this store's earlier times as a primary, so that late ones are told apart:
+  // `last_number`, above those of this store's earlier times as a primary, so that late ones are told apart:
   // what a peer is sent first under a number comes behind all that it was sent under lower ones.
   ShardPrimary(std::uint32_t shard, StoreId self, std::size_t copies, const JobTable& table,
-               std::uint64_t first_number = 0)
-      : shard_(shard), self_(self), copies_(copies), table_(table), numbers_(first_number) {}
+               MessageNumber last_number = {})
+      : shard_(shard), self_(self), copies_(copies), table_(table), last_number_(last_number) {}
 
   // A new row of the placement in which this store is the primary. All peers are asked anew what they hold.
   void set_placement(const ShardPlacement& row);
@@ -59,17 +59,18 @@
     bool must_hold = false;  // commits wait for it: a member, or a joining one that was reported as in sync
     bool joining = false;
     bool digested = false;
-    std::uint64_t ask = 0;         // number of the question for its digests that is out; 0: none
-    std::set<JobKey> missing;      // jobs that it does not hold as they are here
-    std::set<JobKey> sent_copies;  // of these, in the repair that is out, and unchanged since
-    std::uint64_t repair = 0;      // number of the repair that is out; 0: none
+    std::optional<MessageNumber> ask;     // of the question for its digests that is out
+    std::set<JobKey> missing;             // jobs that it does not hold as they are here
+    std::set<JobKey> sent_copies;         // of these, in the repair that is out, and unchanged since
+    std::optional<MessageNumber> repair;  // of the repair that is out
     std::vector<JobChange> repair_changes;
-    std::uint64_t batch_sent = 0;  // number under which it was sent the batch that is under way; 0: not yet
+    std::optional<MessageNumber> batch_sent;  // of the batch that is under way, once it was sent
     bool batch_acked = false;
     Millis asked_at = 0, repair_sent_at = 0, batch_sent_at = 0;
 
     bool holds_all() const { return digested && missing.empty(); }
   };
+  MessageNumber next_number();
   bool is_in_line() const;
   bool may_commit() const { return row_.members.size() >= copies_; }
   void settle();
@@ -84,7 +85,7 @@
   ShardPlacement row_{};
   std::map<StoreId, Peer> peers_;
   std::vector<JobChange> queued_, batch_, committed_;
-  std::uint64_t numbers_;
+  MessageNumber last_number_;
   bool local_durable_ = false;
   bool settled_ = false;
 };
--- a/src/control/state.cpp
+++ b/src/control/state.cpp
@@ -117,6 +117,13 @@
   return nullptr;
 }
 
+const ShardPlacement* PlacementTable::row(std::uint32_t shard) const {
+  for (const ShardPlacement& each : shards) {
+    if (each.shard == shard) return &each;
+  }
+  return nullptr;
+}
+
 TakenOrder ControlState::digest_of(const ConfigOrder& order) {
   const auto kind = static_cast<std::uint64_t>(order.kind);
   TakenOrder out{};
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -53,6 +53,7 @@
                            (std::vector<ShardPlacement>, shards));
   const StoreRecord* store(StoreId id) const;
   const StoreRecord* store_named(const std::string& name) const;  // the newest disk of that machine
+  const ShardPlacement* row(std::uint32_t shard) const;           // null where the table tells of none
 };
 
 // Replaces the named rows of the placement table and leaves the others.
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -17,9 +17,15 @@
 constexpr Millis kLeastGapPatienceMs = 500;
 constexpr Millis kLeastLeftMs = 5;  // with less time left no server is asked
 
-std::string request_bytes(const ForwardRequest& request, const ChosenServer& server,
-                          const std::uint64_t* last_event) {
-  std::string out = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + request.host + "\r\n";
+OutgoingRequest outgoing(const ForwardRequest& request, const ChosenServer& server,
+                         const std::uint64_t* last_event) {
+  OutgoingRequest result;
+  result.id = request.id;
+  result.head_only = request.method == "HEAD";
+  result.body_size = request.body.size();
+  result.body_digest = request.body_digest;
+  std::string& out = result.bytes;
+  out = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + request.host + "\r\n";
   const auto add = [&out](std::string_view name, std::string_view value) {
     out.append(name).append(": ").append(value).append("\r\n");
   };
@@ -35,7 +41,7 @@
     add("Content-Length", std::to_string(request.body.size()));
   out += "\r\n";
   out += request.body;
-  return out;
+  return result;
 }
 
 bool is_success(int status) { return status >= 200 && status < 300; }
@@ -129,8 +135,7 @@
   };
   bool sent = false;
   const std::uint64_t* resume_after = progress.has_event ? &progress.last_event : nullptr;
-  if (!co_await connection->send(request_bytes(request, server, resume_after), request.id,
-                                 request.method == "HEAD", request.deadline, sent)) {
+  if (!co_await connection->send(outgoing(request, server, resume_after), request.deadline, sent)) {
     co_return finish(sent ? CallEnd::kBroken : CallEnd::kNotSent);
   }
   Millis head_until = request.deadline;
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -25,6 +25,7 @@
   std::string id, method, target, host;
   std::vector<std::pair<std::string, std::string>> headers;  // that go on to the server
   std::string body;
+  std::uint64_t body_digest = 0;    // of the body as its client sent it
   Millis deadline = 0;              // of the client and of the route, whichever comes first
   bool is_item = false;             // of a batch job
   std::uint64_t last_event_id = 0;  // to continue after; 0: from the start
--- a/src/forwarding/server_pool.cpp
+++ b/src/forwarding/server_pool.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/server_pool.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "quinceusher/balancer.h"
 
@@ -100,15 +101,39 @@
   return server.silent > 0 && server.last_byte + patience(server.told.service) < now;
 }
 
+bool ServerPool::is_out_of_use(Millis now, const Server& server) const {
+  return server.told.draining || now < server.shunned_until || looks_dead(now, server);
+}
+
 bool ServerPool::may_use(Millis now, const Server& server, CallKind kind) const {
-  if (server.told.draining || now < server.shunned_until || looks_dead(now, server)) return false;
-  if (kind == CallKind::kLive) return server.slots <= 0 || server.in_flight < server.slots;
-  if (server.silent_items >= kSilentItems) return false;
-  if (server.slots <= 0) return true;
-  const double room = kItemShare * server.slots;
+  if (kind == CallKind::kItem) return item_room_of(now, server) > 0;
+  if (is_out_of_use(now, server)) return false;
+  if (kind == CallKind::kOnlyItem) return server.items == 0;
+  return server.slots <= 0 || server.in_flight < server.slots;
+}
+
+std::size_t ServerPool::item_room_of(Millis now, const Server& server) const {
+  if (is_out_of_use(now, server) || server.silent_items >= kSilentItems) return 0;
+  const auto silent = static_cast<std::size_t>(kSilentItems - server.silent_items);
+  if (server.slots <= 0) return silent;
   const bool told = server.load_at + kLoadFreshMs >= now;
-  if (told) return server.running + server.waiting + server.sent_since_load < room;
-  return server.items < (kind == CallKind::kOnlyItem ? 1 : untold_items(server));
+  const int taken = server.running + server.waiting + server.sent_since_load;
+  const int free = told ? static_cast<int>(std::ceil(kItemShare * server.slots)) - taken
+                        : untold_items(server) - server.items;
+  return std::min(silent, static_cast<std::size_t>(std::max(free, 0)));
+}
+
+std::size_t ServerPool::item_room(Millis now, const std::string& service) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) return 0;
+  std::size_t room = 0;
+  const std::vector<std::string>& all = found->second.all;
+  for (const std::string& id : all) room += item_room_of(now, servers_.at(id));
+  if (room > 0 || items_in_flight(service) > 0) return room;
+  const bool any = std::any_of(all.begin(), all.end(), [&](const std::string& id) {
+    return may_use(now, servers_.at(id), CallKind::kOnlyItem);
+  });
+  return any ? 1 : 0;
 }
 
 // Items that this node may have at a server that has not told its load just now: its share of the room. Where
--- a/src/forwarding/server_pool.h
+++ b/src/forwarding/server_pool.h
@@ -60,6 +60,8 @@
   // part of a server's slots to live calls, and few of them wait for their first byte at a time.
   std::optional<ChosenServer> pick(Millis now, const std::string& service,
                                    const std::vector<std::string>& tried, bool is_item);
+  // How many items this node may send to a service now.
+  std::size_t item_room(Millis now, const std::string& service) const;
   // Whether a server may have fallen silent: the next call should first see whether a connection comes up,
   // since what is not sent has not run and may go elsewhere.
   bool is_suspect(Millis now, const std::string& id) const;
@@ -112,6 +114,9 @@
   // Whether a server of this zone is so full that one elsewhere is worth the way.
   bool is_crowded(Millis now, const Server& server) const;
   bool may_use(Millis now, const Server& server, CallKind kind) const;
+  // Items that this node may send to a server now.
+  std::size_t item_room_of(Millis now, const Server& server) const;
+  bool is_out_of_use(Millis now, const Server& server) const;
   int untold_items(const Server& server) const;
   bool looks_dead(Millis now, const Server& server) const;
 
--- a/src/forwarding/upstream.cpp
+++ b/src/forwarding/upstream.cpp
@@ -15,8 +15,10 @@
 #include <optional>
 #include <utility>
 
+#include "base/digest.h"
 #include "forwarding/request_headers.h"
 #include "messaging/network.h"
+#include "node/log.h"
 
 namespace nettlestand::tier {
 namespace {
@@ -64,7 +66,8 @@
 
 class UpstreamConnections::Connection : public UpstreamConnection {
  public:
-  explicit Connection(asio::io_context& io) : stream_(io) {}
+  Connection(asio::io_context& io, std::shared_ptr<BodyCheck> check)
+      : stream_(io), check_(std::move(check)) {}
 
   asio::awaitable<bool> connect(std::string address, Millis deadline) {
     error_code error;
@@ -75,18 +78,19 @@
     co_return true;
   }
 
-  asio::awaitable<bool> send(std::string bytes, std::string request_id, bool head_only, Millis deadline,
-                             bool& sent) override {
-    request_id_ = std::move(request_id);
-    head_only_ = head_only;
+  asio::awaitable<bool> send(OutgoingRequest request, Millis deadline, bool& sent) override {
+    request_id_ = request.id;
+    head_only_ = request.head_only;
     whole_ = false;
     read_error_ = {};
+    if (!has_its_body(request)) co_return false;
     error_code error;
     set_timeout(deadline);
-    const std::size_t written = co_await asio::async_write(stream_, asio::buffer(bytes),
+    const std::size_t written = co_await asio::async_write(stream_, asio::buffer(request.bytes),
                                                            asio::redirect_error(asio::use_awaitable, error));
     sent = written > 0;
-    co_return !error;
+    const bool unchanged = has_its_body(request);
+    co_return !error && unchanged;
   }
 
   asio::awaitable<Read> read_head(ResponseHead& head, Millis deadline) override {
@@ -161,6 +165,16 @@
   Millis idle_until() const { return idle_until_; }
 
  private:
+  bool has_its_body(const OutgoingRequest& request) {
+    const std::string_view bytes = request.bytes;
+    const bool same = request.body_size <= bytes.size() &&
+                      digest_of(bytes.substr(bytes.size() - request.body_size)) == request.body_digest;
+    if (same) return true;
+    check_->on_difference(BodyStep::kSend);
+    NETTLESTAND_WARNING("a body is not its client's id=" << request.id
+                                                         << " step=" << name_of(BodyStep::kSend));
+    return false;
+  }
   void set_timeout(Millis deadline) {
     stream_.expires_after(std::chrono::milliseconds(std::max<Millis>(deadline - steady_now(), 1)));
   }
@@ -197,6 +211,7 @@
   }
 
   beast::tcp_stream stream_;
+  std::shared_ptr<BodyCheck> check_;
   beast::flat_buffer buffer_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
   std::string request_id_;
@@ -215,7 +230,7 @@
     idle.pop_back();
     if (connection->looks_alive(steady_now())) co_return connection;
   }
-  auto connection = std::make_shared<Connection>(io_);
+  auto connection = std::make_shared<Connection>(io_, body_check_);
   if (!co_await connection->connect(address, deadline)) co_return nullptr;
   co_return connection;
 }
--- a/src/forwarding/upstream.h
+++ b/src/forwarding/upstream.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/body_check.h"
 #include "base/time.h"
 
 namespace nettlestand::tier {
@@ -25,15 +26,24 @@
   int load_running = -1, load_waiting = 0, load_slots = 0;  // running below 0: not told
 };
 
+// A request as it is written to a server.
+struct OutgoingRequest {
+  std::string bytes;  // head and body
+  std::string id;     // that the answer has to name
+  bool head_only = false;
+  std::size_t body_size = 0;      // of the last bytes
+  std::uint64_t body_digest = 0;  // that these have to have
+};
+
 // One connection to a server, and the call that is under way on it.
 class UpstreamConnection {
  public:
   enum class Read { kOk, kEnd, kBroken, kTimedOut };
 
   virtual ~UpstreamConnection() = default;
-  // Sends a request; false where that failed. `sent`: any of it may have reached the server.
-  virtual boost::asio::awaitable<bool> send(std::string bytes, std::string request_id, bool head_only,
-                                            Millis deadline, bool& sent) = 0;
+  // Sends a request; false where that failed, or where its body is not the one that it should be. `sent`: any
+  // of it may have reached the server.
+  virtual boost::asio::awaitable<bool> send(OutgoingRequest request, Millis deadline, bool& sent) = 0;
   // The head of the answer. Answers to earlier requests, told by their id, are passed over.
   virtual boost::asio::awaitable<Read> read_head(ResponseHead& head, Millis deadline) = 0;
   // More of the body; kEnd once it was whole.
@@ -56,10 +66,13 @@
   // Keeps a connection whose call is over for the next one, or closes it.
   void finish(const std::string& address, UpstreamPtr connection);
   void close_idle(Millis now);
+  // Bodies that were not the client's when they were to be sent, or had been.
+  const BodyCheck& body_check() const { return *body_check_; }
 
  private:
   class Connection;
   boost::asio::io_context& io_;
+  std::shared_ptr<BodyCheck> body_check_ = std::make_shared<BodyCheck>();  // shared with the connections
   std::unordered_map<std::string, std::deque<std::shared_ptr<Connection>>> idle_;
 };
 
--- a/src/messaging/messages.h
+++ b/src/messaging/messages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/hana.hpp>
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -147,7 +148,8 @@
   BOOST_HANA_DEFINE_STRUCT(JobItem, (std::string, id), (std::string, path),
                            (std::vector<std::string>, header_names),
                            (std::vector<std::string>, header_values), (std::string, body),
-                           (std::int64_t, tokens));
+                           (std::int64_t, tokens),
+                           (std::uint64_t, digest));  // of what the client sent: batch/item_digest.h
 };
 
 struct JobSpec {
@@ -189,14 +191,23 @@
                            (std::uint64_t, chain), (bool, ended));
 };
 
+// Orders the messages of a shard's primary within an epoch of its placement: by the starts of the process on
+// its disk, then by the tenures of one start, then by the messages of one tenure. Each part has a number of
+// its own, so that none can run over into the next.
+struct MessageNumber {
+  BOOST_HANA_DEFINE_STRUCT(MessageNumber, (std::uint64_t, start), (std::uint64_t, tenure),
+                           (std::uint64_t, message));
+  auto operator<=>(const MessageNumber&) const = default;
+};
+
 // From a shard's primary. A copy answers once all changes are durable; `digest_wanted` asks what it holds.
 struct Replicate {
-  BOOST_HANA_DEFINE_STRUCT(Replicate, (std::uint32_t, shard), (std::uint64_t, epoch), (std::uint64_t, batch),
+  BOOST_HANA_DEFINE_STRUCT(Replicate, (std::uint32_t, shard), (std::uint64_t, epoch), (MessageNumber, number),
                            (StoreId, to), (std::vector<JobChange>, changes), (bool, digest_wanted));
 };
 struct ReplicateReply {
   BOOST_HANA_DEFINE_STRUCT(ReplicateReply, (std::uint32_t, shard), (std::uint64_t, epoch),
-                           (std::uint64_t, batch), (StoreId, from), (bool, accepted), (bool, has_digest),
+                           (MessageNumber, number), (StoreId, from), (bool, accepted), (bool, has_digest),
                            (std::vector<JobDigest>, digest));
 };
 
--- a/src/node/batch_front.cpp
+++ b/src/node/batch_front.cpp
@@ -7,7 +7,10 @@
 #include <set>
 #include <utility>
 
+#include "base/digest.h"
+#include "batch/item_digest.h"
 #include "control/placement.h"
+#include "node/log.h"
 
 namespace nettlestand::tier {
 namespace {
@@ -90,6 +93,7 @@
     auto item = parse_item(request);
     if (!item.ok()) return item.status();
     if (!ids.insert(item->id).second) return invalid("two items share an id");
+    set_digest(*item);
     spec.items.push_back(*std::move(item));
   }
   return spec;
@@ -128,15 +132,24 @@
 
 asio::awaitable<void> BatchFront::submit(std::shared_ptr<HttpExchange> exchange, const Route& route,
                                          std::string tenant) {
-  auto spec = parse_job(exchange->request.body);
+  const HttpRequest& request = exchange->request;
+  if (digest_of(request.body) != request.body_digest) {
+    body_check_.on_difference(BodyStep::kSubmission);
+    NETTLESTAND_WARNING("a body is not its client's id=" << request.header("X-Request-Id")
+                                                         << " step=" << name_of(BodyStep::kSubmission));
+    HeaderList headers = kJson;
+    headers.emplace_back("Retry-After", "0.5");
+    co_return co_await exchange->respond(503, std::move(headers), "{}");
+  }
+  auto spec = parse_job(request.body);
   if (!spec.ok()) {
     std::string error = "{\"error\":\"" + std::string(spec.status().message()) + "\"}";
     co_return co_await exchange->respond(400, kJson, std::move(error));
   }
-  spec->id = std::string(exchange->request.header("X-Request-Id"));
+  spec->id = std::string(request.header("X-Request-Id"));
   spec->tenant = tenant;
   spec->route = route.name;
-  spec->host = exchange->request.host();
+  spec->host = request.host();
   JobCall call{};
   call.kind = JobCallKind::kSubmit;
   call.tenant = std::move(tenant);
--- a/src/node/batch_front.h
+++ b/src/node/batch_front.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "base/body_check.h"
 #include "control/follower.h"
 #include "messaging/messenger.h"
 #include "node/http_server.h"
@@ -36,6 +37,9 @@
                                     bool may_hold);
   void on_reply(JobReply reply) { calls_.deliver(std::move(reply)); }
 
+  // Submissions whose bytes had changed before they were parsed.
+  const BodyCheck& body_check() const { return body_check_; }
+
   static bool is_job_path(std::string_view path);
 
  private:
@@ -50,6 +54,7 @@
   Messenger& messenger_;
   ControlFollower& follower_;
   PendingCalls<JobReply> calls_;
+  BodyCheck body_check_;
 };
 
 }  // namespace nettlestand::tier
--- a/src/node/http_server.cpp
+++ b/src/node/http_server.cpp
@@ -16,6 +16,7 @@
 #include <optional>
 #include <utility>
 
+#include "base/digest.h"
 #include "messaging/network.h"
 #include "node/log.h"
 
@@ -228,6 +229,7 @@
     request.received_at = steady_now();
     request.headers = std::move(headers);
     request.body = std::move(message.body());
+    request.body_digest = digest_of(request.body);
   }
 
   asio::awaitable<void> refuse(int status) {
--- a/src/node/http_server.h
+++ b/src/node/http_server.h
@@ -22,6 +22,7 @@
   std::string method, target;
   HeaderList headers;  // as they came, without trailers
   std::string body;
+  std::uint64_t body_digest = 0;  // of the body as it came
   Millis received_at = 0;
 
   // The first value, or empty; names are compared without regard to case.
--- a/src/node/live_front.cpp
+++ b/src/node/live_front.cpp
@@ -155,6 +155,7 @@
   }
   forward.headers = forwarded_headers(request.headers);
   forward.body = std::move(request.body);
+  forward.body_digest = request.body_digest;
   forward.may_send = [this, host = request.host(), path = std::string(request.path()), caller,
                       service = forward.service] { return still_allowed(host, path, caller, service); };
 
--- a/src/storage/segment_format.cpp
+++ b/src/storage/segment_format.cpp
@@ -4,13 +4,15 @@
 
 #include <algorithm>
 #include <cstring>
+#include <iterator>
 #include <optional>
 
 namespace nettlestand::tier::storage {
 namespace {
 
-constexpr std::uint64_t kSegmentMagic = 0x324753474E4C544EULL;     // "NTLNGSG2"
-constexpr std::uint64_t kOldSegmentMagic = 0x314753474E4C544EULL;  // "NTLNGSG1"
+constexpr std::uint64_t kSegmentMagic = 0x334753474E4C544EULL;          // "NTLNGSG3"
+constexpr std::uint64_t kOldSegmentMagics[] = {0x324753474E4C544EULL,   // "NTLNGSG2"
+                                               0x314753474E4C544EULL};  // "NTLNGSG1"
 constexpr std::uint32_t kRecordMagic = 0x43455232;
 constexpr std::uint32_t kSealMagic = 0x4C414553;
 constexpr std::size_t kReadChunk = 1U << 20;
@@ -152,7 +154,8 @@
   SegmentHeader out;
   if (bytes.size() < kSegmentHeaderBytes) return out;
   const auto magic = get<std::uint64_t>(bytes, 0);
-  out.is_old_format = magic == kOldSegmentMagic;
+  out.is_old_format = std::find(std::begin(kOldSegmentMagics), std::end(kOldSegmentMagics), magic) !=
+                      std::end(kOldSegmentMagics);
   const auto generation = get<std::uint64_t>(bytes, 8);
   const bool good = magic == kSegmentMagic &&
                     get<std::uint64_t>(bytes, 16) == checksum(bytes.substr(0, 16), {}, generation);
--- a/src/storage/segment_ring.cpp
+++ b/src/storage/segment_ring.cpp
@@ -72,7 +72,7 @@
     const auto bytes = (*file)->read(0, kSegmentHeaderBytes);
     if (!bytes.ok()) return bytes.status();
     const SegmentHeader header = parse_segment_header(*bytes);
-    if (header.is_old_format) return absl::FailedPreconditionError("segments are of format 1");
+    if (header.is_old_format) return absl::FailedPreconditionError("segments are of an older format");
     if (header.generation != 0) used_[header.generation] = number;
   }
   return absl::OkStatus();
--- a/tools/simulate/actors.cpp
+++ b/tools/simulate/actors.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "batch/item_digest.h"
+
 namespace nettlestand::tier::simulate {
 namespace {
 
@@ -181,6 +183,7 @@
     item.path = "/jobs/x";
     item.body = "body of " + item.id + padding;
     item.tokens = 10;
+    set_digest(item);
     bodies.emplace(item.id, item.body);
     submission.spec.items.push_back(std::move(item));
   }
--- a/tools/simulate/cluster.cpp
+++ b/tools/simulate/cluster.cpp
@@ -171,14 +171,14 @@
 
  private:
   bool may_run(Millis now, const JobKey& key) override { return hooks_.may_run(now, key); }
-  ItemRules rules_of(Millis, const Job&) override {
+  ItemRules rules_of(Millis, const std::string&) override {
     ItemRules out;
     out.state = ItemRules::State::kOpen;
     out.max_attempts = kItemAttempts;
     return out;
   }
   bool can_start() const override { return under_way_ < kMostRunning; }
-  bool has_room(Millis, const Job&) override { return can_start(); }
+  bool has_room(Millis, const std::string&) override { return can_start(); }
   void withheld(const JobKey& key, std::uint32_t, StartReason) override {
     cluster_.history_.fail("an item was to be sent with another body: " + key.id);
   }
