--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -61,8 +61,8 @@
   bool has_event = false;
 };
 
-Forwarder::Forwarder(asio::io_context& io, std::uint64_t seed)
-    : io_(io), pool_(seed), connections_(std::make_unique<UpstreamConnections>(io)), random_(seed + 1) {}
+Forwarder::Forwarder(std::unique_ptr<Upstream> upstream, std::uint64_t seed)
+    : pool_(seed), upstream_(std::move(upstream)), random_(seed + 1) {}
 Forwarder::~Forwarder() = default;
 
 ClientAdmission& Forwarder::admission(const std::string& tenant, const std::string& service) {
@@ -74,15 +74,16 @@
   progress.last_event = request.last_event_id;
   progress.has_event = request.has_last_event_id;
   ClientAdmission& client = admission(request.tenant, request.service);
-  const auto result = [&](ForwardEnd end) {
-    return ForwardResult{end, progress.status, progress.last_event};
+  const auto result = [&](ForwardEnd end, ForwardRefusal refusal = ForwardRefusal::kNone) {
+    return ForwardResult{end, progress.status, progress.last_event, refusal};
   };
   // The first decision: may this client's call go at all?
   if (client.admit(steady_now(), random_) != ClientAdmission::Decision::kSend)
-    co_return result(ForwardEnd::kRefused);
+    co_return result(ForwardEnd::kRefused, ForwardRefusal::kLimit);
 
   const int allowed_runs = request.is_item ? 1 : std::max(1, request.route->max_attempts);
   CallEnd last = CallEnd::kNotSent;
+  ForwardRefusal refusal = ForwardRefusal::kServersRefused;
   while (progress.tried.size() < kMaxTries) {
     const Millis now = steady_now();
     if (now + kLeastLeftMs >= request.deadline) break;
@@ -90,9 +91,15 @@
     const bool resume = progress.head_passed;
     if (progress.runs >= allowed_runs || (progress.runs > 0 && !repeatable)) break;
     if (resume && (!request.route->resumable || !progress.is_stream)) break;
-    if (request.may_send && !request.may_send()) break;
+    if (request.may_send && !request.may_send()) {
+      refusal = ForwardRefusal::kWithdrawn;
+      break;
+    }
     const auto server = pool_.pick(now, request.service, progress.tried, request.is_item);
-    if (!server) break;
+    if (!server) {
+      if (progress.tried.empty()) refusal = ForwardRefusal::kNoServer;
+      break;
+    }
     progress.tried.push_back(server->id);
     progress.may_try_again = repeatable && progress.runs + 1 < allowed_runs;
     last = co_await attempt(request, *server, progress, sink);
@@ -102,7 +109,7 @@
     if (progress.ended_whole) co_return result(ForwardEnd::kAnswered);
   }
   if (progress.head_passed) co_return result(ForwardEnd::kCut);
-  if (progress.runs == 0) co_return result(ForwardEnd::kRefused);
+  if (progress.runs == 0) co_return result(ForwardEnd::kRefused, refusal);
   co_return result(last == CallEnd::kTimedOut ? ForwardEnd::kTimedOut : ForwardEnd::kFailed);
 }
 
@@ -117,12 +124,12 @@
     pool_.on_end(steady_now(), server.id, how, request.is_item, first_byte);
     return sink.client_gone && !never_ran(how) ? CallEnd::kAbandoned : how;
   };
-  UpstreamPtr connection = co_await connections_->open(server.address, request.deadline, suspect);
+  UpstreamPtr connection = co_await upstream_->open(server.address, request.deadline, suspect);
   if (!connection) co_return end(CallEnd::kNotSent);
   // The list and the configuration may have changed while the connection came up.
   const bool allowed = !request.may_send || request.may_send();
   if (sink.client_gone || !allowed || !pool_.is_usable(request.service, server.id)) {
-    connections_->finish(server.address, std::move(connection));
+    upstream_->finish(server.address, std::move(connection));
     co_return end(CallEnd::kNotSent);
   }
   sink.abandon = [raw = std::weak_ptr<UpstreamConnection>(connection)] {
@@ -130,7 +137,7 @@
   };
   const auto finish = [&](CallEnd how) {
     sink.abandon = nullptr;
-    connections_->finish(server.address, std::move(connection));
+    upstream_->finish(server.address, std::move(connection));
     return end(how);
   };
   bool sent = false;
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -56,21 +55,31 @@
   kAbandoned  // the client left
 };
 
+// Why a request was refused without having run.
+enum class ForwardRefusal : std::uint8_t {
+  kNone,
+  kLimit,          // by the client's learned limit
+  kNoServer,       // no server that may be used has room
+  kWithdrawn,      // it may no longer be sent
+  kServersRefused  // each server that was asked has turned it away, or could not be reached
+};
+
 struct ForwardResult {
   ForwardEnd end = ForwardEnd::kFailed;
   int status = 0;                // of the last answer of a server
   std::uint64_t last_event = 0;  // passed on
+  ForwardRefusal refusal = ForwardRefusal::kNone;
 };
 
 class Forwarder {
  public:
-  Forwarder(boost::asio::io_context& io, std::uint64_t seed);
+  Forwarder(std::unique_ptr<Upstream> upstream, std::uint64_t seed);
   ~Forwarder();
 
   boost::asio::awaitable<ForwardResult> forward(ForwardRequest request, AnswerSink& sink);
 
   ServerPool& pool() { return pool_; }
-  UpstreamConnections& connections() { return *connections_; }
+  Upstream& upstream() { return *upstream_; }
 
  private:
   struct Progress;
@@ -78,9 +87,8 @@
                                           Progress& progress, AnswerSink& sink);
   ClientAdmission& admission(const std::string& tenant, const std::string& service);
 
-  boost::asio::io_context& io_;
   ServerPool pool_;
-  std::unique_ptr<UpstreamConnections> connections_;
+  std::unique_ptr<Upstream> upstream_;
   quinceusher::Random random_;
   std::map<std::pair<std::string, std::string>, ClientAdmission> admissions_;
 };
--- a/src/forwarding/server_pool.cpp
+++ b/src/forwarding/server_pool.cpp
@@ -18,7 +18,12 @@
 constexpr int kFailuresToShun = 2;  // in a row
 constexpr Millis kShunMs = 700;     // doubled with each further failure
 constexpr Millis kMostShunMs = 3000;
-constexpr double kItemShare = 0.8;     // of a server's slots that items may fill
+constexpr double kItemShare = 0.8;  // of a server's slots that calls may fill before items stay away
+// Calls that may run at a server before items stay away, however many slots it has: each one makes the events
+// of all others come more slowly, until the pauses of live streams are beyond their aim.
+constexpr double kMostBesideItems = 48;
+constexpr int kItemQueue = 1;          // calls that wait at a server, beyond which items stay away
+constexpr int kCrowdedQueue = 4;       // from so many on live calls look for another server
 constexpr double kOpenTimes = 2;       // x the nodes that a server has room for may send it an item untold:
                                        // most have none at a time
 constexpr Millis kLoadFreshMs = 400;   // what a server told of its load counts for so long
@@ -101,6 +106,10 @@
   return server.silent > 0 && server.last_byte + patience(server.told.service) < now;
 }
 
+bool ServerPool::has_told(Millis now, const Server& server) const {
+  return server.load_at + kLoadFreshMs >= now;
+}
+
 bool ServerPool::is_out_of_use(Millis now, const Server& server) const {
   return server.told.draining || now < server.shunned_until || looks_dead(now, server);
 }
@@ -112,14 +121,19 @@
   return server.slots <= 0 || server.in_flight < server.slots;
 }
 
+// Slots of a server that may be taken before items stay away.
+double ServerPool::item_share_of(const Server& server) {
+  return std::min(kItemShare * server.slots, kMostBesideItems);
+}
+
 std::size_t ServerPool::item_room_of(Millis now, const Server& server) const {
   if (is_out_of_use(now, server) || server.silent_items >= kSilentItems) return 0;
   const auto silent = static_cast<std::size_t>(kSilentItems - server.silent_items);
   if (server.slots <= 0) return silent;
-  const bool told = server.load_at + kLoadFreshMs >= now;
-  const int taken = server.running + server.waiting + server.sent_since_load;
-  const int free = told ? static_cast<int>(std::ceil(kItemShare * server.slots)) - taken
-                        : untold_items(server) - server.items;
+  const bool told = has_told(now, server);
+  if (told && server.queue() > kItemQueue) return 0;
+  const int most = static_cast<int>(std::ceil(item_share_of(server)));
+  const int free = told ? most - server.running - server.queue() : untold_items(server) - server.items;
   return std::min(silent, static_cast<std::size_t>(std::max(free, 0)));
 }
 
@@ -140,7 +154,7 @@
 // there is less room than nodes, a server is open to some of the nodes for one item each, and each server to
 // others.
 int ServerPool::untold_items(const Server& server) const {
-  const double share = kItemShare * server.slots / static_cast<double>(item_nodes_);
+  const double share = item_share_of(server) / static_cast<double>(item_nodes_);
   if (share >= 1) return static_cast<int>(share);
   const std::size_t nodes = std::max<std::size_t>(overall_.count, 1);
   const std::size_t turn = (quinceusher::hash_of(server.told.id) + overall_.index) % nodes;
@@ -148,8 +162,8 @@
 }
 
 bool ServerPool::is_crowded(Millis now, const Server& server) const {
-  if (server.slots <= 0 || server.load_at + kLoadFreshMs < now) return false;
-  return server.running + server.waiting + server.sent_since_load > kCrowdedShare * server.slots;
+  if (server.slots <= 0 || !has_told(now, server)) return false;
+  return server.queue() >= kCrowdedQueue || server.running + server.queue() > kCrowdedShare * server.slots;
 }
 
 const ServerPool::Server* ServerPool::choose(Millis now, const std::vector<std::string>& ids,
--- a/src/forwarding/server_pool.h
+++ b/src/forwarding/server_pool.h
@@ -94,6 +94,9 @@
     Millis shunned_until = 0;
     int running = 0, waiting = 0, slots = 0;
     Millis load_at = kNever;
+
+    // Calls that read their prompts there, or wait to, as far as this node knows.
+    int queue() const { return waiting + sent_since_load; }
   };
   struct ServiceView {
     std::vector<std::string> near, all;  // ids in the order that all nodes agree on
@@ -114,9 +117,12 @@
   // Whether a server of this zone is so full that one elsewhere is worth the way.
   bool is_crowded(Millis now, const Server& server) const;
   bool may_use(Millis now, const Server& server, CallKind kind) const;
+  // Whether what a server told of its load still counts.
+  bool has_told(Millis now, const Server& server) const;
   // Items that this node may send to a server now.
   std::size_t item_room_of(Millis now, const Server& server) const;
   bool is_out_of_use(Millis now, const Server& server) const;
+  static double item_share_of(const Server& server);
   int untold_items(const Server& server) const;
   bool looks_dead(Millis now, const Server& server) const;
 
--- a/src/forwarding/upstream.h
+++ b/src/forwarding/upstream.h
@@ -56,16 +56,25 @@
 
 using UpstreamPtr = std::shared_ptr<UpstreamConnection>;
 
-class UpstreamConnections {
+// Where connections to servers come from: the program's are sockets, simulations have their own.
+class Upstream {
  public:
-  explicit UpstreamConnections(boost::asio::io_context& io);
-  ~UpstreamConnections();
+  virtual ~Upstream() = default;
   // A kept connection that looks alive, or a new one (always a new one where `fresh`); null where none came
   // about in time.
-  boost::asio::awaitable<UpstreamPtr> open(std::string address, Millis deadline, bool fresh);
+  virtual boost::asio::awaitable<UpstreamPtr> open(std::string address, Millis deadline, bool fresh) = 0;
   // Keeps a connection whose call is over for the next one, or closes it.
-  void finish(const std::string& address, UpstreamPtr connection);
-  void close_idle(Millis now);
+  virtual void finish(const std::string& address, UpstreamPtr connection) = 0;
+  virtual void close_idle(Millis now) = 0;
+};
+
+class UpstreamConnections : public Upstream {
+ public:
+  explicit UpstreamConnections(boost::asio::io_context& io);
+  ~UpstreamConnections() override;
+  boost::asio::awaitable<UpstreamPtr> open(std::string address, Millis deadline, bool fresh) override;
+  void finish(const std::string& address, UpstreamPtr connection) override;
+  void close_idle(Millis now) override;
   // Bodies that were not the client's when they were to be sent, or had been.
   const BodyCheck& body_check() const { return *body_check_; }
 
--- a/src/node/live_front.cpp
+++ b/src/node/live_front.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "forwarding/request_headers.h"
+#include "node/log.h"
 
 namespace nettlestand::tier {
 namespace {
@@ -35,11 +36,48 @@
   return request.received_at + std::min(client_ms, route_ms);
 }
 
-asio::awaitable<void> refuse(const std::shared_ptr<HttpExchange>& exchange, int status,
-                             const char* retry_after) {
-  HeaderList headers;
-  if (retry_after != nullptr) headers.emplace_back("Retry-After", retry_after);
-  co_await exchange->respond(status, std::move(headers), "");
+int status_of(RefusalCause cause) {
+  switch (cause) {
+    case RefusalCause::kUnknownRoute:
+      return 404;
+    case RefusalCause::kUnknownKey:
+      return 401;
+    case RefusalCause::kBadRequest:
+      return 400;
+    case RefusalCause::kQuota:
+      return 429;
+    default:
+      return 503;
+  }
+}
+
+// When to come back; null where that would not help.
+const char* retry_after(RefusalCause cause) {
+  switch (cause) {
+    case RefusalCause::kUnknownRoute:
+    case RefusalCause::kUnknownKey:
+    case RefusalCause::kBadRequest:
+      return nullptr;
+    case RefusalCause::kNoConfiguration:
+      return kRetryControl;
+    case RefusalCause::kQuota:
+      return kRetryQuota;
+    default:
+      return kRetryServers;
+  }
+}
+
+RefusalCause cause_of(ForwardRefusal refusal) {
+  switch (refusal) {
+    case ForwardRefusal::kLimit:
+      return RefusalCause::kLimit;
+    case ForwardRefusal::kNoServer:
+      return RefusalCause::kNoServer;
+    case ForwardRefusal::kWithdrawn:
+      return RefusalCause::kWithdrawn;
+    default:
+      return RefusalCause::kServersRefused;
+  }
 }
 
 // Passes a server's answer on to the client as it comes.
@@ -61,38 +99,55 @@
 
 asio::awaitable<void> LiveFront::handle(std::shared_ptr<HttpExchange> exchange) {
   const HttpRequest& request = exchange->request;
-  if (!co_await has_configuration()) co_return co_await refuse(exchange, 503, kRetryControl);
+  if (!co_await has_configuration()) co_return co_await refuse(exchange, RefusalCause::kNoConfiguration);
   const auto configuration = follower_.configuration();
   const bool job_call = BatchFront::is_job_path(request.path());
   const Route* route = job_call ? nullptr : configuration->find_route(request.host(), request.path());
-  if (!job_call && route == nullptr) co_return co_await refuse(exchange, 404, nullptr);
+  if (!job_call && route == nullptr) co_return co_await refuse(exchange, RefusalCause::kUnknownRoute);
 
   Caller caller;
   const bool keyed = !configuration->tenants().empty() && (job_call || !route->is_public);
   if (keyed) {
     caller.key = std::string(request.header("X-Api-Key"));
     caller.account = configuration->tenant_of(caller.key);
-    if (caller.account == nullptr) co_return co_await refuse(exchange, 401, nullptr);
+    if (caller.account == nullptr) co_return co_await refuse(exchange, RefusalCause::kUnknownKey);
     caller.tenant = caller.account->name;
   }
   if (job_call) {
     const bool may_hold = end_ == std::numeric_limits<Millis>::max();
     co_return co_await batch_.call(std::move(exchange), caller.tenant, may_hold);
   }
-  if (request.header("X-Request-Id").empty()) co_return co_await refuse(exchange, 400, nullptr);
+  if (request.header("X-Request-Id").empty()) {
+    co_return co_await refuse(exchange, RefusalCause::kBadRequest, caller.tenant);
+  }
   if (route->route_class == RouteClass::kBatch) {
     if (request.received_at + BatchFront::kLongestCallMs > end_) {
-      co_return co_await refuse(exchange, 503, kRetryServers);
+      co_return co_await refuse(exchange, RefusalCause::kStopping, caller.tenant);
     }
     co_return co_await batch_.submit(std::move(exchange), *route, caller.tenant);
   }
-  if (deadline_of(request, *route) > end_) co_return co_await refuse(exchange, 503, kRetryServers);
+  if (deadline_of(request, *route) > end_) {
+    co_return co_await refuse(exchange, RefusalCause::kStopping, caller.tenant);
+  }
   if (caller.account != nullptr && !co_await within_quota(*caller.account)) {
-    co_return co_await refuse(exchange, 429, kRetryQuota);
+    co_return co_await refuse(exchange, RefusalCause::kQuota, caller.tenant);
   }
   co_await serve(std::move(exchange), configuration, *route, std::move(caller));
 }
 
+asio::awaitable<void> LiveFront::refuse(std::shared_ptr<HttpExchange> exchange, RefusalCause cause,
+                                        const std::string& tenant) {
+  refusals_.count(cause, tenant);
+  HeaderList headers;
+  if (const char* after = retry_after(cause)) headers.emplace_back("Retry-After", after);
+  co_await exchange->respond(status_of(cause), std::move(headers), "");
+}
+
+void LiveFront::tick(Millis now) {
+  const std::string report = refusals_.due_report(now);
+  if (!report.empty()) NETTLESTAND_INFO("refused" << report);
+}
+
 asio::awaitable<bool> LiveFront::has_configuration() {
   const Millis until = steady_now() + kControlWaitMs;
   for (;;) {
@@ -175,11 +230,11 @@
       exchange->abort();
       co_return;
     case ForwardEnd::kRefused:
-      co_return co_await refuse(exchange, 503, kRetryServers);
+      co_return co_await refuse(exchange, cause_of(result.refusal), caller.tenant);
     case ForwardEnd::kFailed:
-      co_return co_await refuse(exchange, 502, nullptr);
+      co_return co_await exchange->respond(502, {}, "");
     case ForwardEnd::kTimedOut:
-      co_return co_await refuse(exchange, 504, nullptr);
+      co_return co_await exchange->respond(504, {}, "");
   }
 }
 
--- a/src/node/live_front.h
+++ b/src/node/live_front.h
@@ -12,6 +12,7 @@
 #include "forwarding/forwarder.h"
 #include "node/batch_front.h"
 #include "node/http_server.h"
+#include "node/refusal_counters.h"
 
 namespace nettlestand::tier {
 
@@ -22,6 +23,9 @@
       : io_(io), follower_(follower), forwarder_(forwarder), batch_(batch), random_(seed) {}
 
   boost::asio::awaitable<void> handle(std::shared_ptr<HttpExchange> exchange);
+  // Tells now and then what was refused, and why.
+  void tick(Millis now);
+  const RefusalCounters& refusals() const { return refusals_; }
   // The process ends then: what may last longer is refused from now on.
   void set_end(Millis end) { end_ = end; }
 
@@ -41,12 +45,16 @@
   bool still_allowed(const std::string& host, const std::string& path, const Caller& caller,
                      const std::string& service) const;
 
+  boost::asio::awaitable<void> refuse(std::shared_ptr<HttpExchange> exchange, RefusalCause cause,
+                                      const std::string& tenant = "");
+
   boost::asio::io_context& io_;
   ControlFollower& follower_;
   Forwarder& forwarder_;
   BatchFront& batch_;
   quinceusher::Random random_;
   Millis end_ = std::numeric_limits<Millis>::max();
+  RefusalCounters refusals_;
 };
 
 }  // namespace nettlestand::tier
--- a/src/node/node_program.cpp
+++ b/src/node/node_program.cpp
@@ -109,7 +109,7 @@
                                        [this](const std::string& from, std::string_view bytes) {
                                          core_->on_message(steady_now(), from, bytes);
                                        });
-  forwarder_ = std::make_unique<Forwarder>(io_, seed_ + 1);
+  forwarder_ = std::make_unique<Forwarder>(std::make_unique<UpstreamConnections>(io_), seed_ + 1);
   forwarder_->pool().set_zone(settings_.zone);
   ListingFactory listing;
   if (!settings_.cloud_api.address.empty()) {
@@ -193,9 +193,10 @@
 void NodeProgram::tick() {
   const Millis now = steady_now();
   core_->tick(now);
+  live_front_->tick(now);
   if (now >= next_idle_close_) {
     next_idle_close_ = now + kIdleCloseMs;
-    forwarder_->connections().close_idle(now);
+    forwarder_->upstream().close_idle(now);
   }
   if (stopping_since_ != 0) continue_stop(now);
   if (stopping_since_ != 0 && may_exit(now)) return io_.stop();
--- a/tests/system/forwarding_test.cpp
+++ b/tests/system/forwarding_test.cpp
@@ -75,6 +75,34 @@
   CHECK(picked(pool, 2000) == std::set<std::string>{"i0", "i3", "i6"});  // what was told is old
 }
 
+TEST_CASE("live calls pass by a server at which others wait, as long as another has none waiting") {
+  ServerPool pool(1);
+  pool.set_servers(servers(3, 1));
+  pool.on_load(100, "i0", 1, 4, 10);
+  pool.on_load(100, "i1", 1, 3, 10);
+  CHECK(picked(pool, 110) == std::set<std::string>{"i1", "i2"});
+  pool.on_load(120, "i1", 1, 5, 10);
+  pool.on_load(120, "i2", 1, 5, 10);
+  CHECK(picked(pool, 130).size() == 3);  // before a call is refused
+}
+
+TEST_CASE("items stay away from servers at which calls wait, and from those that run many") {
+  ServerPool pool(1);
+  std::vector<ListedServer> listed = servers(2, 1);
+  listed[1].slots = 96;
+  pool.set_servers(listed);
+  pool.on_load(100, "i0", 0, 2, 10);
+  pool.on_load(100, "i1", 40, 1, 96);
+  CHECK(picked(pool, 110, 200, true) == std::set<std::string>{"i1"});
+  CHECK(pool.item_room(110, "s") == 2);  // two may wait for their first byte at a time
+  pool.on_load(120, "i0", 7, 0, 10);
+  pool.on_load(120, "i1", 48, 0, 96);  // where slots are many, the pauses between events count
+  CHECK(picked(pool, 130, 200, true) == std::set<std::string>{"i0"});
+  CHECK(pool.item_room(130, "s") == 1);
+  pool.on_sent(130, "i0", true);
+  CHECK(pool.item_room(130, "s") == 0);
+}
+
 TEST_CASE("the less busy of two is taken, so no server gets far more than another") {
   ServerPool pool(2);
   pool.set_servers(servers(8, 1));
--- a/tests/system/item_test.cpp
+++ b/tests/system/item_test.cpp
@@ -95,7 +95,7 @@
       : view_(NodeInfo{}, {}, 1),
         content_(1e9),
         follower_(messenger_, view_, content_, store_follower()),
-        forwarder_(io_, 3) {
+        forwarder_(std::make_unique<UpstreamConnections>(io_), 3) {
     settings_.fault_tolerance.machines = 1;
     settings_.bounds.status_s = 600;
     settings_.limits.disk_mb = 64;
--- /dev/null
+++ b/tests/system/traffic_world.cpp
@@ -0,0 +1,540 @@
+#include "traffic_world.h"
+
+#include <utility>
+
+#include "base/digest.h"
+
+namespace nettlestand::tier::traffic {
+namespace {
+
+constexpr StoreId kCopyDisk = 8, kStrangerDisk = 7;
+const std::string kLeader = "10.0.0.1:7000", kCopy = "10.0.0.8:7000", kStranger = "10.0.0.7:7000";
+constexpr std::size_t kServers = 4;
+constexpr Millis kStepMs = 15;
+constexpr int kFaultySteps = 60, kMostCalmSteps = 1500;
+constexpr std::size_t kLiveBodyBytes = 400;
+
+const std::string kConfiguration =
+    "{\"generation\":1,\"services\":[{\"name\":\"s\"}],"
+    "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"]}],\"routes\":["
+    "{\"name\":\"once\",\"hostname\":\"h.example\",\"path_prefix\":\"/once/\",\"service\":\"s\","
+    "\"timeout_ms\":60000,\"target_latency_ms\":300,\"route_class\":\"non_idempotent\",\"max_attempts\":3},"
+    "{\"name\":\"again\",\"hostname\":\"h.example\",\"path_prefix\":\"/again/\",\"service\":\"s\","
+    "\"timeout_ms\":60000,\"target_latency_ms\":300,\"route_class\":\"idempotent\",\"max_attempts\":3},"
+    "{\"name\":\"stream\",\"hostname\":\"h.example\",\"path_prefix\":\"/stream/\",\"service\":\"s\","
+    "\"timeout_ms\":60000,\"target_latency_ms\":300,\"route_class\":\"streaming\",\"max_attempts\":3,"
+    "\"resumable\":true,\"gap_aim_ms\":150},"
+    "{\"name\":\"stream-once\",\"hostname\":\"h.example\",\"path_prefix\":\"/stream-once/"
+    "\",\"service\":\"s\","
+    "\"timeout_ms\":60000,\"target_latency_ms\":300,\"route_class\":\"streaming\",\"max_attempts\":3,"
+    "\"gap_aim_ms\":150},"
+    "{\"name\":\"jobs\",\"hostname\":\"h.example\",\"path_prefix\":\"/jobs/\",\"service\":\"s\","
+    "\"timeout_ms\":60000,\"target_latency_ms\":300,\"route_class\":\"batch\",\"max_attempts\":50,"
+    "\"max_wait_s\":6000}]}";
+
+std::string event_of(const std::string& id, std::size_t number) {
+  return "id: " + std::to_string(number) + "\ndata: " + id + " " + std::to_string(number) + "\n\n";
+}
+
+std::string events_of(const std::string& id, std::size_t from) {
+  std::string out;
+  for (std::size_t n = from; n <= kEvents; ++n) out += event_of(id, n);
+  return out;
+}
+
+std::string text_of(const std::string& id) {
+  std::string out;
+  for (std::size_t n = 1; n <= kEvents; ++n) out += (n > 1 ? "\n" : "") + id + " " + std::to_string(n);
+  return out;
+}
+
+// The request line and headers of a request's bytes.
+struct ParsedHead {
+  std::string method, target;
+  std::map<std::string, std::string> headers;
+  std::size_t size = 0;
+};
+
+ParsedHead parse_head(const std::string& bytes) {
+  ParsedHead out;
+  out.size = bytes.find("\r\n\r\n") + 4;
+  const std::size_t first = bytes.find(' '), second = bytes.find(' ', first + 1);
+  out.method = bytes.substr(0, first);
+  out.target = bytes.substr(first + 1, second - first - 1);
+  std::size_t at = bytes.find("\r\n") + 2;
+  while (at < out.size - 2) {
+    const std::size_t end = bytes.find("\r\n", at), colon = bytes.find(": ", at);
+    out.headers[bytes.substr(at, colon - at)] = bytes.substr(colon + 2, end - colon - 2);
+    at = end + 2;
+  }
+  return out;
+}
+
+// What an engine does with a request.
+enum class Behaviour {
+  kNoConnection,
+  kBreaksUnsent,
+  kBreaksSent,
+  kTurnsAway,
+  kMisdirects,
+  kHangs,
+  kBreaksInHead,
+  kFails,
+  kBreaksInBody,
+  kHangsInBody,
+  kAnswers
+};
+
+Behaviour draw_behaviour(World& world) {
+  if (world.is_calm() || world.chance(35)) return Behaviour::kAnswers;
+  return static_cast<Behaviour>(world.below(static_cast<std::uint64_t>(Behaviour::kAnswers) + 1));
+}
+
+// A connection to an engine, which answers by the drawn behaviour.
+class Connection : public UpstreamConnection {
+ public:
+  Connection(World& world, Behaviour behaviour) : world_(world), behaviour_(behaviour) {}
+
+  asio::awaitable<bool> send(OutgoingRequest request, Millis, bool& sent) override {
+    id_ = request.id;
+    if (world_.knows(id_) && world_.sent(id_).gone)
+      world_.fail("a request is sent after its client left: " + id_);
+    co_await world_.turns();
+    if (cancelled_ || behaviour_ == Behaviour::kBreaksUnsent) co_return false;
+    sent = true;
+    const bool is_turned_away = behaviour_ == Behaviour::kTurnsAway || behaviour_ == Behaviour::kMisdirects;
+    world_.on_arrival(id_, request, !is_turned_away);
+    const ParsedHead head = parse_head(request.bytes);
+    is_stream_ = world_.sent(id_).is_item || head.target.starts_with("/stream");
+    const auto last = head.headers.find("Last-Event-Id");
+    const std::size_t from = last == head.headers.end() ? 1 : std::stoul(last->second) + 1;
+    if (!is_turned_away && behaviour_ != Behaviour::kFails) {
+      body_ =
+          is_stream_ ? events_of(id_, from) : "answer to " + id_ + " " + std::to_string(world_.below(1000));
+      if (behaviour_ == Behaviour::kAnswers) world_.sent(id_).answers.insert(body_);
+    }
+    co_return behaviour_ != Behaviour::kBreaksSent;
+  }
+
+  asio::awaitable<Read> read_head(ResponseHead& head, Millis) override {
+    co_await world_.turns();
+    if (cancelled_ || behaviour_ == Behaviour::kBreaksInHead) co_return Read::kBroken;
+    if (behaviour_ == Behaviour::kHangs) co_return Read::kTimedOut;
+    head.status = 200;
+    if (behaviour_ == Behaviour::kTurnsAway) head.status = 503;
+    if (behaviour_ == Behaviour::kMisdirects) head.status = 421;
+    if (behaviour_ == Behaviour::kFails) head.status = 500;
+    head.not_executed = behaviour_ == Behaviour::kTurnsAway;
+    head.event_stream = is_stream_ && head.status == 200;
+    head.headers.emplace_back("X-Response-Signature", "of " + id_);
+    co_return Read::kOk;
+  }
+
+  asio::awaitable<Read> read_some(std::string& bytes, Millis) override {
+    bytes.clear();
+    co_await world_.turns();
+    if (cancelled_) co_return Read::kBroken;
+    if (read_ == body_.size()) {
+      whole_ = true;
+      co_return Read::kEnd;
+    }
+    const bool stops = behaviour_ == Behaviour::kBreaksInBody || behaviour_ == Behaviour::kHangsInBody;
+    if (stops && world_.chance(40)) {
+      co_return behaviour_ == Behaviour::kBreaksInBody ? Read::kBroken : Read::kTimedOut;
+    }
+    // Who stops never gives the last byte.
+    const std::size_t left = body_.size() - read_ - (stops ? 1 : 0);
+    if (left == 0) co_return Read::kBroken;
+    bytes = body_.substr(read_, 1 + world_.below(left));
+    read_ += bytes.size();
+    co_return Read::kOk;
+  }
+
+  void cancel() override { cancelled_ = true; }
+  bool reusable() const override { return whole_; }
+
+ private:
+  World& world_;
+  Behaviour behaviour_;
+  std::string id_, body_;
+  std::size_t read_ = 0;
+  bool is_stream_ = false, whole_ = false, cancelled_ = false;
+};
+
+class Engines : public Upstream {
+ public:
+  explicit Engines(World& world) : world_(world) {}
+  asio::awaitable<UpstreamPtr> open(std::string, Millis, bool) override {
+    const Behaviour behaviour = draw_behaviour(world_);
+    co_await world_.turns();
+    if (behaviour == Behaviour::kNoConnection) co_return nullptr;
+    co_return std::make_shared<Connection>(world_, behaviour);
+  }
+  void finish(const std::string&, UpstreamPtr) override {}
+  void close_idle(Millis) override {}
+
+ private:
+  World& world_;
+};
+
+// A client's end of a request: takes the answer, leaves now and then, and says whether the answer was right.
+class ClientExchange : public HttpExchange {
+ public:
+  ClientExchange(World& world, std::string id) : world_(world), id_(std::move(id)) {}
+
+  asio::awaitable<void> respond(int status, HeaderList, std::string) override {
+    begin();
+    ended_ = true;
+    if (status == 429 || status == 503) world_.sent(id_).refused = true;
+    if (world_.sent(id_).refused && world_.sent(id_).runs > 0)
+      world_.fail("a request that has run is refused: " + id_);
+    if (status >= 200 && status < 300 && status != 202) world_.fail("a success of the tier's own: " + id_);
+    co_return;
+  }
+  asio::awaitable<bool> start(int status, const HeaderList& headers, bool, std::uint64_t) override {
+    begin();
+    status_ = status;
+    const bool is_signed = std::any_of(headers.begin(), headers.end(),
+                                       [this](const auto& header) { return header.second == "of " + id_; });
+    if (!is_signed) world_.fail("an answer without its server's signature: " + id_);
+    co_await world_.turns();
+    co_return !gone_;
+  }
+  asio::awaitable<bool> write(std::string_view bytes) override {
+    body_ += bytes;
+    co_await world_.turns();
+    co_return !gone_;
+  }
+  asio::awaitable<void> finish() override {
+    ended_ = true;
+    if (gone_ || status_ != 200) co_return;
+    world_.on_answered();
+    const Sent& sent = world_.sent(id_);
+    const bool is_whole_stream = sent.target.starts_with("/stream") && body_ == events_of(id_, 1);
+    if (!is_whole_stream && !sent.answers.contains(body_))
+      world_.fail("another body than a server's: " + id_);
+  }
+  void abort() override { ended_ = true; }
+  // The client closes its connection.
+  void leave() {
+    if (ended_ || gone_) return;
+    gone_ = true;
+    world_.sent(id_).gone = true;
+    if (on_gone) on_gone();
+  }
+  bool has_ended() const { return ended_ || gone_; }
+
+ private:
+  void begin() {
+    if (ended_ || begun_) world_.fail("a request is answered twice: " + id_);
+    begun_ = true;
+  }
+  World& world_;
+  std::string id_, body_;
+  int status_ = 0;
+  bool begun_ = false, ended_ = false, gone_ = false;
+};
+
+}  // namespace
+
+// Messages between the process's own front and its store; the copies' part is played by the world.
+class World::LoopMessenger : public RecordingMessenger {};
+
+World::World(std::uint64_t seed)
+    : random_(seed),
+      disk_(seed),
+      messenger_(std::make_unique<LoopMessenger>()),
+      view_(NodeInfo{}, {}, 1),
+      content_(1e9),
+      follower_(*messenger_, view_, content_,
+                [] {
+                  FollowerSettings out;
+                  out.is_store = true;
+                  return out;
+                }()),
+      forwarder_(std::make_unique<Engines>(*this), seed + 1),
+      batch_front_(io_, *messenger_, follower_, seed),
+      live_front_(io_, follower_, forwarder_, batch_front_, seed + 2) {
+  settings_.fault_tolerance.machines = 1;
+  settings_.bounds.status_s = 600;
+  settings_.limits.disk_mb = 64;
+  list_servers();
+  forwarder_.pool().set_position({0, 1}, {0, 1});
+  open_store();
+  configure();
+  place({store_->disk_id(), kCopyDisk});
+}
+
+World::~World() {
+  // What still waits in the loop refers to this world.
+  io_.stop();
+}
+
+asio::awaitable<void> World::turns() {
+  const auto executor = co_await asio::this_coro::executor;
+  for (std::uint64_t left = 1 + below(4); left > 0; --left)
+    co_await asio::post(executor, asio::use_awaitable);
+}
+
+// As the platform's list shows them, again and again.
+void World::list_servers() {
+  std::vector<ListedServer> servers;
+  for (std::size_t i = 0; i < kServers; ++i) {
+    ListedServer server{};
+    server.id = "i-" + std::to_string(i);
+    server.service = "s";
+    server.address = "10.9.0.1:" + std::to_string(80 + i);
+    server.slots = 16;
+    servers.push_back(server);
+  }
+  forwarder_.pool().set_servers(servers);
+}
+
+void World::open_store() {
+  JobJournal::Options options;
+  options.directory = "/data";
+  options.disk_mb = 8;
+  options.segment_bytes = 256U << 10;
+  options.files = &disk_;
+  StoreDisk disk;
+  disk.table = std::make_unique<JobTable>();
+  jobs_ = disk.table.get();
+  auto journal = JobJournal::open(options, 55, *disk.table, steady_now());
+  if (!journal.ok()) return fail("no journal");
+  disk.journal = *std::move(journal);
+  disk.queue = std::make_unique<storage::InlineDiskQueue>([raw = disk.journal.get()] { return raw->sync(); },
+                                                          [] { return steady_now(); });
+  store_.emplace(*messenger_, follower_, settings_, std::move(disk),
+                 [this](const JobTable& table, JobRunner::Hooks hooks) {
+                   return std::make_unique<ItemRunner>(io_, forwarder_, follower_, table, std::move(hooks));
+                 });
+}
+
+void World::configure() {
+  hear_leader();
+  ContentReply content{};
+  content.id = content_id_of(1, kConfiguration);
+  content.total = kConfiguration.size();
+  content.bytes = kConfiguration;
+  follower_.on_content(steady_now(), kLeader, content);
+  if (!follower_.is_fresh(steady_now())) fail("no configuration");
+}
+
+void World::hear_leader() {
+  PollReply reply{};
+  reply.from_leader = true;
+  reply.sent_at = steady_now();
+  reply.config = content_id_of(1, kConfiguration);
+  reply.placement_sequence = table_.sequence;
+  reply.placement.push_back(table_);
+  follower_.on_reply(steady_now(), kLeader, reply);
+}
+
+void World::place(const std::vector<StoreId>& members) {
+  const auto record = [](StoreId id, const std::string& address) {
+    StoreRecord out{};
+    out.id = id;
+    out.name = "store-" + std::to_string(id);
+    out.address = address;
+    return out;
+  };
+  table_.sequence += 1;
+  table_.stores = {record(store_->disk_id(), messenger_->own_address()), record(kCopyDisk, kCopy),
+                   record(kStrangerDisk, kStranger)};
+  ShardPlacement row{};
+  row.shard = batch_shard_of(kTenant);
+  row.epoch = table_.sequence;
+  row.members = members;
+  table_.shards = {row};
+  hear_leader();
+  store_->on_placement(steady_now());
+}
+
+// ---------------------------------------------------------------- clients
+
+std::shared_ptr<HttpExchange> World::exchange_for(const std::string& id, const std::string& path,
+                                                  const std::string& body) {
+  auto exchange = std::make_shared<ClientExchange>(*this, id);
+  HttpRequest& request = exchange->request;
+  request.method = "POST";
+  request.target = path;
+  request.body = body;
+  request.body_digest = digest_of(body);
+  request.received_at = steady_now();
+  request.headers = {
+      {"Host", kHost},       {"X-Request-Id", id},    {"X-Api-Key", kKey}, {"X-Deadline-Ms", "60000"},
+      {"X-Model", "m" + id}, {"Connection", "x-hop"}, {"X-Hop", "1"},      {"X-Tenant", "somebody-else"}};
+  return exchange;
+}
+
+asio::awaitable<void> World::serve(std::shared_ptr<HttpExchange> exchange) {
+  co_await live_front_.handle(std::move(exchange));
+}
+
+void World::send_live() {
+  static const char* const kRoutes[] = {"once", "again", "stream", "stream-once"};
+  const std::string route = kRoutes[below(4)], id = "r" + std::to_string(++ids_);
+  Sent& sent = sent_[id];
+  sent.target = "/" + route + "/" + id + "?q=" + id;
+  sent.body = "body of " + id + std::string(below(kLiveBodyBytes), 'b');
+  sent.headers["X-Model"] = "m" + id;
+  sent.repeatable = route == "again" || route == "stream";
+  sent.most_runs = sent.repeatable ? kAttempts : 1;
+  const auto exchange = std::static_pointer_cast<ClientExchange>(exchange_for(id, sent.target, sent.body));
+  asio::co_spawn(
+      io_, [this, exchange] { return serve(exchange); }, asio::detached);
+  if (!chance(15)) return;
+  asio::co_spawn(
+      io_,
+      [this, exchange]() -> asio::awaitable<void> {
+        for (std::uint64_t left = below(8); left > 0; --left) co_await turns();
+        exchange->leave();
+      },
+      asio::detached);
+}
+
+void World::send_job() {
+  const std::string id = "j" + std::to_string(++ids_);
+  std::string requests;
+  for (std::uint64_t i = 0; i < 1 + below(5); ++i) {
+    const std::string item = id + "-" + std::to_string(i);
+    Sent& sent = sent_[item];
+    sent.is_item = true;
+    sent.repeatable = true;
+    sent.most_runs = 1 << 30;
+    sent.target = "/jobs/x/" + item;
+    sent.body = "body of " + item + std::string(below(kLiveBodyBytes), 'b');
+    sent.headers["X-Model"] = "m" + item;
+    job_items_[id].push_back(item);
+    requests += (requests.empty() ? "" : ",") + ("{\"id\":\"" + item + "\",\"path\":\"" + sent.target) +
+                "\",\"headers\":{\"X-Model\":\"m" + item + "\"},\"body\":\"" + absl::Base64Escape(sent.body) +
+                "\",\"tokens\":10}";
+  }
+  const auto exchange = exchange_for(id, "/jobs/", "{\"requests\":[" + requests + "]}");
+  asio::co_spawn(
+      io_, [this, exchange] { return serve(exchange); }, asio::detached);
+}
+
+void World::end_job() {
+  if (jobs_->jobs().empty()) return;
+  auto at = jobs_->jobs().begin();
+  std::advance(at, static_cast<std::ptrdiff_t>(below(jobs_->jobs().size())));
+  JobCall call{};
+  call.call = 1;
+  call.kind = JobCallKind::kEnd;
+  call.tenant = at->first.tenant;
+  call.job = at->first.id;
+  ended_.insert(call.job);
+  store_->on_job_call(steady_now(), kStranger, call);
+}
+
+// The shard goes to another store, and comes back.
+void World::move_shard() {
+  away_ = !away_;
+  place(away_ ? std::vector<StoreId>{kStrangerDisk, store_->disk_id()}
+              : std::vector<StoreId>{store_->disk_id(), kCopyDisk});
+}
+
+// ---------------------------------------------------------------- the engines' side
+
+void World::on_arrival(const std::string& id, const OutgoingRequest& request, bool runs) {
+  ++arrivals_;
+  if (!knows(id)) return fail("a server gets a request that nobody sent: " + id);
+  Sent& sent = sent_[id];
+  const ParsedHead head = parse_head(request.bytes);
+  const std::string body = request.bytes.substr(head.size);
+  if (head.method != sent.method || head.target != sent.target) fail("another method or target: " + id);
+  if (body != sent.body) fail("another body: " + id + " got " + std::to_string(body.size()));
+  if (request.body_size != body.size() || request.body_digest != digest_of(sent.body)) {
+    fail("another digest than of the client's body: " + id);
+  }
+  for (const auto& [name, value] : sent.headers) {
+    const auto found = head.headers.find(name);
+    if (found == head.headers.end() || found->second != value) fail("another " + name + ": " + id);
+  }
+  for (const char* own : {"X-Api-Key", "X-Hop", "Connection"}) {
+    if (head.headers.contains(own)) fail(std::string(own) + " goes on: " + id);
+  }
+  if (head.headers.at("X-Tenant") != kTenant) fail("another tenant: " + id);
+  if (head.headers.at("X-Request-Id") != id) fail("another id: " + id);
+  if (sent.is_item) {
+    const std::string job = id.substr(0, id.find('-'));
+    const Job* held = jobs_->find({kTenant, job});
+    if (held == nullptr || held->ended) fail("an item of a job that is not open: " + id);
+    if (away_) fail("an item of another store's job: " + id);
+  }
+  if (!runs) return;
+  ++sent.runs;
+  if (sent.refused) fail("a request runs that was refused: " + id);
+  if (sent.runs > sent.most_runs) fail("a request runs more often than it may: " + id);
+}
+
+void World::answer_as_copy() {
+  for (const auto& [to, message] : messenger_->take<Replicate>(MessageType::kReplicate)) {
+    if (!is_calm() && chance(20)) continue;  // it is sent again
+    ReplicateReply reply{};
+    reply.shard = message.shard;
+    reply.epoch = message.epoch;
+    reply.number = message.number;
+    reply.from = kCopyDisk;
+    reply.accepted = true;
+    reply.has_digest = message.digest_wanted;
+    store_->on_replicate_reply(steady_now(), reply);
+  }
+}
+
+void World::step() {
+  clock_shift += kStepMs;
+  hear_leader();
+  list_servers();
+  store_->tick(steady_now());
+  for (int i = 0; i < 20; ++i) {
+    io_.restart();
+    io_.poll();
+    for (const auto& [to, call] : messenger_->take<JobCall>(MessageType::kJobCall)) {
+      store_->on_job_call(steady_now(), messenger_->own_address(), call);
+    }
+    for (auto& [to, reply] : messenger_->take<JobReply>(MessageType::kJobReply)) {
+      if (to == messenger_->own_address()) batch_front_.on_reply(std::move(reply));
+    }
+    answer_as_copy();
+  }
+  messenger_->sent.clear();
+}
+
+std::string World::play() {
+  for (int i = 0; i < kFaultySteps && broken_.empty(); ++i) {
+    if (chance(40)) send_live();
+    if (chance(12)) send_job();
+    if (chance(3)) end_job();
+    if (chance(3)) move_shard();
+    step();
+  }
+  calm_ = true;
+  if (away_) move_shard();
+  std::string open = "not played";
+  for (int i = 0; i < kMostCalmSteps && broken_.empty() && !open.empty(); ++i) {
+    step();
+    open = check_jobs();
+  }
+  if (broken_.empty() && !open.empty()) fail(open);
+  if (broken_.empty() && !store_->body_check().is_clean()) fail("bodies differed on their way");
+  return broken_;
+}
+
+// What is still open; empty once all is over.
+std::string World::check_jobs() {
+  items_done_ = 0;
+  for (const auto& [key, job] : jobs_->jobs()) {
+    if (job.open()) return "an open job's items are not all listed: " + key.id;
+    for (const JobResult& result : job.results) {
+      const std::string& id = job.spec.items[result.item].id;
+      if (result.state != ResultState::kCompleted) continue;
+      ++items_done_;
+      if (result.text != text_of(id)) fail("a result is not the whole text of its item: " + id);
+    }
+  }
+  return "";
+}
+
+}  // namespace nettlestand::tier::traffic
--- a/tests/system/wire_test.cpp
+++ b/tests/system/wire_test.cpp
@@ -344,7 +344,7 @@
 
 Forwarded forward(const std::vector<ScriptedServer*>& servers, const std::string& route) {
   asio::io_context io;
-  Forwarder forwarder(io, 3);
+  Forwarder forwarder(std::make_unique<UpstreamConnections>(io), 3);
   std::vector<ListedServer> listed;
   for (std::size_t i = 0; i < servers.size(); ++i) {
     ListedServer server{};
