--- a/src/base/codec.h
+++ b/src/base/codec.h
@@ -32,6 +32,7 @@
  public:
   template <class T>
   void put(const T& value) {
+    // NOLINTNEXTLINE(bugprone-branch-clone): branches of a template, of which each type keeps one.
     if constexpr (std::is_enum_v<T>) {
       put_varint(static_cast<std::uint64_t>(value));
     } else if constexpr (std::is_same_v<T, double>) {
@@ -77,6 +78,7 @@
 
   template <class T>
   void get(T& value) {
+    // NOLINTNEXTLINE(bugprone-branch-clone): branches of a template, of which each type keeps one.
     if constexpr (std::is_same_v<T, bool>) {
       value = varint() != 0;
     } else if constexpr (std::is_enum_v<T>) {
--- a/src/batch/job_table.h
+++ b/src/batch/job_table.h
@@ -15,6 +15,7 @@
 
 struct JobKey {
   std::string tenant, id;
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the 0 of a defaulted comparison for a pointer.
   auto operator<=>(const JobKey&) const = default;
 };
 
@@ -38,6 +39,7 @@
 struct OpenJob {
   Millis accepted_at = 0;
   std::string id;
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the 0 of a defaulted comparison for a pointer.
   auto operator<=>(const OpenJob&) const = default;
 };
 
--- a/src/batch/shard_primary.cpp
+++ b/src/batch/shard_primary.cpp
@@ -199,7 +199,7 @@
     report.shard = shard_;
     report.epoch = row_.epoch;
     report.store = id;
-    out.push_back(std::move(report));
+    out.push_back(report);
   }
   return out;
 }
--- a/src/batch/store_service.cpp
+++ b/src/batch/store_service.cpp
@@ -65,7 +65,8 @@
 }
 
 void StoreService::change(Millis now, JobChange change) {
-  primary_of(key_of(change))->add(std::move(change));
+  ShardPrimary* primary = primary_of(key_of(change));
+  primary->add(std::move(change));
   drive(now);
 }
 
@@ -123,7 +124,7 @@
 std::vector<InSync> StoreService::in_sync() {
   std::vector<InSync> out;
   for (auto& [shard, tenure] : tenures_) {
-    for (InSync& report : tenure.primary.in_sync()) out.push_back(std::move(report));
+    for (const InSync& report : tenure.primary.in_sync()) out.push_back(report);
   }
   return out;
 }
--- a/src/consensus/quorum.h
+++ b/src/consensus/quorum.h
@@ -46,6 +46,7 @@
 LogIndex quorum_index(const MemberList& list, Reached reached) {
   const auto agreed = [&reached](const std::vector<Member>& members) {
     std::vector<LogIndex> indexes;
+    indexes.reserve(members.size());
     for (const Member& member : members) indexes.push_back(reached(member.id));
     std::sort(indexes.begin(), indexes.end(), std::greater<>());
     return indexes.empty() ? LogIndex{0} : indexes[members.size() / 2];
--- a/src/control/follower.cpp
+++ b/src/control/follower.cpp
@@ -143,6 +143,8 @@
   struct Ranked {
     std::uint64_t rank = 0;
     std::string address;
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the 0 of a defaulted comparison for a
+    // pointer.
     auto operator<=>(const Ranked&) const = default;
   };
   const NodeInfo& self = view_.self();
@@ -158,6 +160,7 @@
   }
   std::sort(near.begin(), near.end());
   std::vector<std::string> out;
+  out.reserve(near.size());
   for (const Ranked& holder : near) out.push_back(holder.address);
   if (near.empty() && !self.is_core) {
     std::vector<std::pair<std::string, std::string>> named;
--- a/src/control/journal.cpp
+++ b/src/control/journal.cpp
@@ -143,7 +143,7 @@
 
 absl::Status ControlJournal::write_whole(const std::map<GroupId, consensus::StoredState>& groups) {
   ring_->use_reserve(true);
-  const absl::Status status = write_groups(groups);
+  absl::Status status = write_groups(groups);
   ring_->use_reserve(false);
   return status;
 }
--- a/src/control/replica_host.cpp
+++ b/src/control/replica_host.cpp
@@ -105,7 +105,7 @@
   // What stands in the journal already needs the sync alone.
   const auto append = [this, id, &group]() -> absl::Status {
     if (group.appended) return absl::OkStatus();
-    const absl::Status status = disk_.journal->append(id, *group.writing);
+    absl::Status status = disk_.journal->append(id, *group.writing);
     group.appended = status.ok();
     return status;
   };
--- a/src/control/waiting_calls.h
+++ b/src/control/waiting_calls.h
@@ -17,6 +17,7 @@
 struct EntryId {
   consensus::Term term = 0;
   consensus::LogIndex index = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the 0 of a defaulted comparison for a pointer.
   auto operator<=>(const EntryId&) const = default;
 };
 
--- a/src/messaging/messages.h
+++ b/src/messaging/messages.h
@@ -197,6 +197,7 @@
 struct MessageNumber {
   BOOST_HANA_DEFINE_STRUCT(MessageNumber, (std::uint64_t, start), (std::uint64_t, tenure),
                            (std::uint64_t, message));
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the 0 of a defaulted comparison for a pointer.
   auto operator<=>(const MessageNumber&) const = default;
 };
 
--- a/src/messaging/network.cpp
+++ b/src/messaging/network.cpp
@@ -232,6 +232,7 @@
 Network::Network(asio::io_context& io, const std::string& own_address, Handler handler)
     : io_(io), own_address_(own_address), handler_(std::move(handler)), acceptor_(io) {}
 
+// NOLINTNEXTLINE(bugprone-exception-escape): Asio's cancel throws only where its event loop is gone.
 Network::~Network() {
   for (auto& [address, link] : outgoing_) link->close();
 }
--- a/src/messaging/network.h
+++ b/src/messaging/network.h
@@ -23,7 +23,7 @@
   using Handler = std::function<void(const std::string& from, std::string_view message)>;
 
   Network(boost::asio::io_context& io, const std::string& own_address, Handler handler);
-  ~Network() override;
+  ~Network() override;  // NOLINT(bugprone-exception-escape): as at its definition
   // Throws boost::system::system_error where the address can't be bound.
   void listen();
   using Messenger::send;
--- a/src/storage/disk_thread.cpp
+++ b/src/storage/disk_thread.cpp
@@ -41,6 +41,7 @@
 
 std::vector<DiskThread::Outcome> DiskThread::perform(std::deque<Request> requests) {
   std::vector<Outcome> outcomes;
+  outcomes.reserve(requests.size());
   for (Request& request : requests) outcomes.push_back({std::move(request.done), request.write()});
   const absl::Status synced = sync_();
   for (Outcome& outcome : outcomes) {
--- a/src/storage/segment_format.cpp
+++ b/src/storage/segment_format.cpp
@@ -89,7 +89,7 @@
     if (!head.ok()) return head.status();
     if (head->size() < kRecordHeaderBytes) return false;
     const std::uint64_t claimed = offset + kRecordHeaderBytes + get<std::uint32_t>(*head, 4);
-    const auto behind = proves(claimed, offset);
+    auto behind = proves(claimed, offset);
     if (!behind.ok() || *behind) return behind;
     const auto window = bytes_at(offset + 1, kReadChunk);
     if (!window.ok()) return window.status();
@@ -99,7 +99,7 @@
       put(pattern, magic);
       for (std::size_t at = nearby.find(pattern); at != std::string::npos;
            at = nearby.find(pattern, at + 1)) {
-        const auto found = proves(offset + 1 + at, offset);
+        auto found = proves(offset + 1 + at, offset);
         if (!found.ok() || *found) return found;
       }
     }
--- a/src/storage/segment_ring.cpp
+++ b/src/storage/segment_ring.cpp
@@ -25,14 +25,14 @@
 
 absl::StatusOr<std::unique_ptr<SegmentRing>> SegmentRing::open(RingOptions options, const Visitor& visit) {
   std::unique_ptr<SegmentRing> ring(new SegmentRing(std::move(options)));
-  if (const absl::Status status = ring->load(visit); !status.ok()) return status;
-  if (const absl::Status status = ring->roll(); !status.ok()) return status;
+  if (absl::Status status = ring->load(visit); !status.ok()) return status;
+  if (absl::Status status = ring->roll(); !status.ok()) return status;
   return ring;
 }
 
 absl::Status SegmentRing::erase(const RingOptions& options) {
   for (std::size_t file = 0; file < options.max_segments; ++file) {
-    const absl::Status status = options.files->remove(segment_path(options.directory, file));
+    absl::Status status = options.files->remove(segment_path(options.directory, file));
     if (!status.ok()) return status;
   }
   return options.files->sync_directory(options.directory);
@@ -68,7 +68,7 @@
     if (!file.ok()) return file.status();
     file_exists_[number] = true;
     // What a killed process has written is shown by the page cache, whether it was synced or not.
-    if (const absl::Status status = (*file)->sync(); !status.ok()) return status;
+    if (absl::Status status = (*file)->sync(); !status.ok()) return status;
     const auto bytes = (*file)->read(0, kSegmentHeaderBytes);
     if (!bytes.ok()) return bytes.status();
     const SegmentHeader header = parse_segment_header(*bytes);
@@ -119,8 +119,8 @@
 
 absl::Status SegmentRing::roll() {
   if (file_) {
-    if (const absl::Status status = sync(); !status.ok()) return status;
-    if (const absl::Status status = seal(*file_, current_, offset_); !status.ok()) return status;
+    if (absl::Status status = sync(); !status.ok()) return status;
+    if (absl::Status status = seal(*file_, current_, offset_); !status.ok()) return status;
   }
   std::vector<bool> taken(options_.max_segments, false);
   for (const auto& [generation, file] : used_) taken[file] = true;
@@ -154,7 +154,7 @@
     if (!uses_reserve_ && free_ <= options_.reserved_segments) {
       return absl::ResourceExhaustedError("no free segment but the reserved ones");
     }
-    if (const absl::Status status = roll(); !status.ok()) return status;
+    if (absl::Status status = roll(); !status.ok()) return status;
   }
   pending_ += encode_record(record, current_, offset_);
   return current_;
@@ -162,8 +162,8 @@
 
 absl::Status SegmentRing::sync() {
   if (pending_.empty()) return absl::OkStatus();
-  if (const absl::Status status = file_->write(offset_, pending_); !status.ok()) return status;
-  if (const absl::Status status = file_->sync(); !status.ok()) return status;
+  if (absl::Status status = file_->write(offset_, pending_); !status.ok()) return status;
+  if (absl::Status status = file_->sync(); !status.ok()) return status;
   offset_ += pending_.size();
   pending_.clear();
   return absl::OkStatus();
