--- a/src/base/codec.h
+++ b/src/base/codec.h
@@ -32,7 +32,7 @@
  public:
   template <class T>
   void put(const T& value) {
-    // NOLINTNEXTLINE(bugprone-branch-clone): branches of a template, of which each type keeps one.
+    // NOLINTNEXTLINE(bugprone-branch-clone): each type keeps one of the branches.
     if constexpr (std::is_enum_v<T>) {
       put_varint(static_cast<std::uint64_t>(value));
     } else if constexpr (std::is_same_v<T, double>) {
@@ -78,10 +78,9 @@
 
   template <class T>
   void get(T& value) {
-    // NOLINTNEXTLINE(bugprone-branch-clone): branches of a template, of which each type keeps one.
     if constexpr (std::is_same_v<T, bool>) {
       value = varint() != 0;
-    } else if constexpr (std::is_enum_v<T>) {
+    } else if constexpr (std::is_enum_v<T>) {  // NOLINT(bugprone-branch-clone): as above
       value = static_cast<T>(varint());
     } else if constexpr (std::is_same_v<T, double>) {
       const std::string_view bytes = take(sizeof(double));
--- a/src/control/follower.cpp
+++ b/src/control/follower.cpp
@@ -143,8 +143,7 @@
   struct Ranked {
     std::uint64_t rank = 0;
     std::string address;
-    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the 0 of a defaulted comparison for a
-    // pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr): no pointer is compared here.
     auto operator<=>(const Ranked&) const = default;
   };
   const NodeInfo& self = view_.self();
