--- /dev/null
+++ b/bench/item_schedule.cpp
@@ -0,0 +1,78 @@
+// What a round of the item schedule costs, by open jobs: none has room, or each item runs already.
+#include "batch/item_schedule.h"
+
+#include <benchmark/benchmark.h>
+
+#include <string>
+#include <utility>
+
+#include "batch/item_digest.h"
+
+namespace {
+
+using namespace nettlestand::tier;
+
+constexpr std::size_t kItems = 60;
+constexpr std::size_t kTenants = 8;
+constexpr Millis kTickMs = 40;
+
+class Host : public ItemHost {
+ public:
+  bool room = false;
+
+  bool may_run(Millis, const JobKey&) override { return true; }
+  ItemRules rules_of(Millis, const std::string&) override {
+    ItemRules out;
+    out.state = ItemRules::State::kOpen;
+    return out;
+  }
+  bool can_start() const override { return true; }
+  bool has_room(Millis, const std::string&) override { return room; }
+  void start(Millis, const ItemRun&) override {}
+  void withheld(const JobKey&, std::uint32_t, StartReason) override {}
+  void decided(Millis, const JobKey&, JobResult) override {}
+  void abandon(RunId) override {}
+};
+
+void add_jobs(JobTable& table, std::size_t count) {
+  for (std::size_t i = 0; i < count; ++i) {
+    JobChange change{};
+    change.tenant = "tenant-" + std::to_string(i % kTenants);
+    change.job = "job-" + std::to_string(i);
+    JobSpec spec{};
+    spec.route = "jobs";
+    for (std::size_t n = 0; n < kItems; ++n) {
+      JobItem item{};
+      item.id = change.job + "-" + std::to_string(n);
+      set_digest(item);
+      spec.items.push_back(std::move(item));
+    }
+    change.spec.push_back(std::move(spec));
+    table.apply(static_cast<Millis>(i), change);
+  }
+}
+
+// `room`: all items are started before the measurement.
+void pump(benchmark::State& state, bool room) {
+  JobTable table;
+  add_jobs(table, static_cast<std::size_t>(state.range(0)));
+  Host host;
+  ItemSchedule schedule(table, host);
+  Millis now = 1;
+  host.room = room;
+  schedule.pump(now);
+  for (auto _ : state) {
+    now += kTickMs;
+    schedule.pump(now);
+  }
+}
+
+void pump_without_room(benchmark::State& state) { pump(state, false); }
+void pump_with_all_running(benchmark::State& state) { pump(state, true); }
+
+BENCHMARK(pump_without_room)->Arg(10)->Arg(100)->Arg(1000);
+BENCHMARK(pump_with_all_running)->Arg(10)->Arg(100)->Arg(1000);
+
+}  // namespace
+
+BENCHMARK_MAIN();
