--- a/standins/tier/tier_world.cpp
+++ b/standins/tier/tier_world.cpp
@@ -22,6 +22,12 @@
 constexpr std::size_t kMostNodes = kPlatformIp - 1;
 constexpr int kSignalBase = 128;
 
+// Of a child between fork and exec: its parent's handlers may allocate or print, among locks that other
+// threads of the parent held at the fork.
+void drop_signal_handlers() {
+  for (int number = 1; number < NSIG; ++number) ::signal(number, SIG_DFL);
+}
+
 }  // namespace
 
 TierWorld::TierWorld(const WorldOptions& options) : options_(options) {
@@ -113,11 +119,18 @@
   std::vector<char*> environment = {const_cast<char*>(variable.c_str()), nullptr};
   const char* program = options_.program.c_str();
   const char* role = node.role.c_str();
+  // Signals that come before the child is executed wait until it has none of this process's handlers.
+  sigset_t all, before;
+  sigfillset(&all);
+  pthread_sigmask(SIG_BLOCK, &all, &before);
   node.pid = ::fork();
   if (node.pid != 0) {
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
     ::close(out);
     return;
   }
+  drop_signal_handlers();
+  pthread_sigmask(SIG_SETMASK, &before, nullptr);
   ::dup2(out, STDOUT_FILENO);
   ::dup2(out, STDERR_FILENO);
   ::execle(program, program, role, nullptr, environment.data());
--- a/tests/system/soak_test.cpp
+++ b/tests/system/soak_test.cpp
@@ -2,7 +2,14 @@
 // hand with nettlestand-soak.
 #include "soak/soak.h"
 
+#include <signal.h>
+#include <sys/mman.h>
+
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <new>
+
+#include "standins/tier/tier_world.h"
 
 using namespace nettlestand::tier;
 using namespace nettlestand::tier::soak;
@@ -46,6 +53,44 @@
 
 }  // namespace
 
+namespace {
+
+// Counts its calls in all processes that share it.
+std::atomic<int>* shared_counter() {
+  void* memory =
+      ::mmap(nullptr, sizeof(std::atomic<int>), PROT_READ | PROT_WRITE, MAP_SHARED | MAP_ANONYMOUS, -1, 0);
+  REQUIRE(memory != MAP_FAILED);
+  return new (memory) std::atomic<int>(0);
+}
+std::atomic<int>* handler_calls = nullptr;
+void count_call(int) { ++*handler_calls; }
+
+}  // namespace
+
+// Catch2 has a handler for SIGTERM that allocates and prints. A child that is told to end between fork and
+// exec ran it, among locks that threads of its parent had held at the fork, and stood still for good.
+TEST_CASE("a process that is told to end before it is executed runs none of its parent's handlers") {
+  constexpr int kStarts = 100, kEndedBySignal = -1;
+  handler_calls = shared_counter();
+  struct sigaction counting {
+  }, before{};
+  counting.sa_handler = count_call;
+  REQUIRE(::sigaction(SIGTERM, &counting, &before) == 0);
+  standins::WorldOptions options;
+  options.program = PROGRAM;
+  {
+    standins::TierWorld world(options);
+    for (int i = 0; i < kStarts; ++i) {
+      world.start(0, false);
+      world.terminate(0);
+      const int code = world.exit_code(0);
+      CHECK((code == 0 || code == kEndedBySignal));
+    }
+  }
+  REQUIRE(::sigaction(SIGTERM, &before, nullptr) == 0);
+  CHECK(*handler_calls == 0);
+}
+
 TEST_CASE("signals, restarts and changes that overlap break no promise to clients with open connections") {
   SoakOptions options;
   options.program = PROGRAM;
