--- a/tests/system/soak_test.cpp
+++ b/tests/system/soak_test.cpp
@@ -80,6 +80,7 @@
   options.program = PROGRAM;
   {
     standins::TierWorld world(options);
+    world.kill(0);  // it was started with the world
     for (int i = 0; i < kStarts; ++i) {
       world.start(0, false);
       world.terminate(0);
