--- a/review/lib/tier.py
+++ b/review/lib/tier.py
@@ -134,8 +134,9 @@
     """A sound model server: answers each request with an event stream in chunks, ids from 0, and continues
     after Last-Event-Id. `events` and `event_bytes` say how much one answer holds."""
 
-    def __init__(self, loop, server_id, address, record, events=8, event_bytes=85, pause=0.0):
-        self.id, self.address, self.record = server_id, address, record
+    def __init__(self, loop, server_id, address, record, events=8, event_bytes=85, pause=0.0,
+                 slots=96):
+        self.id, self.address, self.record, self.slots = server_id, address, record, slots
         self.events, self.event_bytes, self.pause = events, event_bytes, pause
         self.runs = collections.Counter()
         self.running = 0
@@ -160,7 +161,7 @@
 
     async def answer(self, writer, method, target, headers, body):
         request_id = headers.get("x-request-id", "")
-        stamp = "X-Request-Id: %s\r\nX-Server-Load: %d,0,96\r\n" % (request_id, self.running)
+        stamp = "X-Request-Id: %s\r\nX-Server-Load: %d,0,%d\r\n" % (request_id, self.running, self.slots)
         expected = headers.get("x-expect-instance")
         if expected not in (None, self.id):
             writer.write(("HTTP/1.1 421 Misdirected Request\r\n%sX-Not-Executed: 1\r\n"
