--- a/review/lib/tier.py
+++ b/review/lib/tier.py
@@ -379,6 +379,10 @@
 
 def main(case, run):
     """Runs one case: exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    def ended(number, frame):
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, ended)  # of run.sh's time limit: the processes are ended all the same
     record = Record(os.path.join(case, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     tiers = []
