--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "forwarding/event_stream.h"
+#include "node/log.h"
 
 namespace nettlestand::tier {
 namespace {
@@ -45,6 +46,13 @@
   return result;
 }
 
+// Whether a client takes the status for the guarantee that its request did not run and will not run.
+bool is_refusal(int status) {
+  constexpr int kRequestTimeout = 408, kMisdirected = 421, kTooManyRequests = 429, kUnavailable = 503;
+  return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
+         status == kUnavailable;
+}
+
 bool is_success(int status) { return status >= 200 && status < 300; }
 
 }  // namespace
@@ -70,6 +78,11 @@
   return admissions_[{tenant, service}];
 }
 
+void Forwarder::tick(Millis now) {
+  const std::string report = upstream_->call_counters().take_due_report(now);
+  if (!report.empty()) NETTLESTAND_INFO("calls" << report);
+}
+
 asio::awaitable<ForwardResult> Forwarder::forward(ForwardRequest request, ResponseSink& sink) {
   Progress progress;
   progress.last_event_id = request.last_event_id;
@@ -101,6 +114,12 @@
       if (progress.tried.empty()) refusal = ForwardRefusal::kNoServer;
       break;
     }
+    if (!progress.tried.empty()) {
+      upstream_->call_counters().count(CallEvent::kRepeatedSend);
+      NETTLESTAND_DEBUG("request sent again id=" << request.id << " server=" << server->id
+                                                 << " attempt=" << progress.tried.size() + 1
+                                                 << " runs=" << progress.runs << " after=" << name_of(last));
+    }
     progress.tried.push_back(server->id);
     progress.may_retry = repeatable && progress.runs + 1 < max_runs;
     last = co_await attempt(request, *server, progress, sink);
@@ -168,6 +187,11 @@
     co_return release_and_end(head.status == kHttpMisdirected ? CallOutcome::kMisdirected
                                                               : CallOutcome::kNotExecuted);
   }
+  if (is_refusal(head.status)) {
+    upstream_->call_counters().count(CallEvent::kUnprovenRefusal);
+    NETTLESTAND_DEBUG("refusal without proof id=" << request.id << " server=" << server.id
+                                                  << " status=" << head.status);
+  }
   const bool success = is_success(head.status);
   if (!success && (progress.may_retry || progress.head_forwarded))
     co_return release_and_end(CallOutcome::kServerError);
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -82,6 +82,9 @@
   // Runs a request to its end. `sink` has to stay alive until then.
   boost::asio::awaitable<ForwardResult> forward(ForwardRequest request, ResponseSink& sink);
 
+  // Logs a summary of unusual calls at intervals.
+  void tick(Millis now);
+
   ServerPool& pool() { return pool_; }
   Upstream& upstream() { return *upstream_; }
 
--- a/src/forwarding/server_pool.cpp
+++ b/src/forwarding/server_pool.cpp
@@ -45,6 +45,28 @@
 
 }  // namespace
 
+const char* name_of(CallOutcome outcome) {
+  switch (outcome) {
+    case CallOutcome::kCompleted:
+      return "completed";
+    case CallOutcome::kNotExecuted:
+      return "not_executed";
+    case CallOutcome::kMisdirected:
+      return "misdirected";
+    case CallOutcome::kNotSent:
+      return "not_sent";
+    case CallOutcome::kServerError:
+      return "server_error";
+    case CallOutcome::kConnectionLost:
+      return "connection_lost";
+    case CallOutcome::kTimedOut:
+      return "timed_out";
+    case CallOutcome::kClientGone:
+      return "client_gone";
+  }
+  return "unknown";
+}
+
 void ServerPool::set_servers(const std::vector<ListedServer>& servers) {
   std::map<std::string, ServiceView> services;
   std::unordered_map<std::string, Server> kept;
--- a/src/forwarding/server_pool.h
+++ b/src/forwarding/server_pool.h
@@ -35,6 +35,9 @@
          outcome == CallOutcome::kNotSent;
 }
 
+// The name of an outcome in logs.
+const char* name_of(CallOutcome outcome);
+
 // A server that was chosen for a call.
 struct ChosenServer {
   std::string id, address;
--- a/src/forwarding/upstream.cpp
+++ b/src/forwarding/upstream.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -68,8 +69,9 @@
 
 class UpstreamConnectionPool::Connection : public UpstreamConnection {
  public:
-  Connection(asio::io_context& io, std::shared_ptr<BodyIntegrityCounters> check)
-      : stream_(io), check_(std::move(check)) {}
+  Connection(asio::io_context& io, std::shared_ptr<BodyIntegrityCounters> check,
+             std::shared_ptr<CallCounters> counters)
+      : stream_(io), check_(std::move(check)), counters_(std::move(counters)) {}
 
   asio::awaitable<bool> connect(std::string address, Millis deadline) {
     error_code error;
@@ -82,6 +84,7 @@
 
   asio::awaitable<bool> send(OutgoingRequest request, Millis deadline, bool& sent) override {
     request_id_ = request.id;
+    note_request_id();
     head_only_ = request.head_only;
     complete_ = false;
     read_error_ = {};
@@ -112,6 +115,7 @@
       if (id.empty()) co_return Read::kBroken;
       // A connection that carried a response to another request may hold more of them, so it is not reused.
       has_foreign_response_ = true;
+      counters_->count(CallEvent::kForeignResponse);
       const Read skipped = co_await skip_body(deadline);
       if (skipped != Read::kEnd || !parser_->keep_alive()) co_return Read::kBroken;
     }
@@ -168,6 +172,14 @@
   Millis idle_until() const { return idle_until_; }
 
  private:
+  // Remembers the ids of the requests that this connection has carried.
+  void note_request_id() {
+    const std::uint64_t digest = digest_of(request_id_);
+    const bool repeated = std::find(carried_ids_.begin(), carried_ids_.end(), digest) != carried_ids_.end();
+    if (!repeated) return carried_ids_.push_back(digest);
+    counters_->count(CallEvent::kRepeatedId);
+    NETTLESTAND_DEBUG("request id sent again on its connection id=" << request_id_);
+  }
   // Compares the body with its digest; logs and counts a difference.
   bool verify_body(const OutgoingRequest& request) {
     const std::string_view bytes = request.bytes;
@@ -216,6 +228,8 @@
 
   beast::tcp_stream stream_;
   std::shared_ptr<BodyIntegrityCounters> check_;
+  std::shared_ptr<CallCounters> counters_;
+  std::vector<std::uint64_t> carried_ids_;  // digests of the ids of all its requests
   beast::flat_buffer buffer_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
   std::string request_id_;
@@ -235,7 +249,7 @@
     idle.pop_back();
     if (connection->looks_alive(steady_now())) co_return connection;
   }
-  auto connection = std::make_shared<Connection>(io_, body_check_);
+  auto connection = std::make_shared<Connection>(io_, body_check_, call_counters_);
   if (!co_await connection->connect(address, deadline)) co_return nullptr;
   co_return connection;
 }
--- a/src/forwarding/upstream.h
+++ b/src/forwarding/upstream.h
@@ -13,6 +13,7 @@
 
 #include "base/body_integrity.h"
 #include "base/time.h"
+#include "forwarding/call_counters.h"
 
 namespace nettlestand::tier {
 
@@ -69,6 +70,10 @@
   virtual void release(const std::string& address, UpstreamConnectionPtr connection) = 0;
   // Closes the connections whose idle timeout has expired.
   virtual void close_idle(Millis now) = 0;
+  CallCounters& call_counters() { return *call_counters_; }
+
+ protected:
+  std::shared_ptr<CallCounters> call_counters_ = std::make_shared<CallCounters>();  // shared with connections
 };
 
 // Pool of TCP connections, with the idle ones kept by server address.
--- a/src/node/node_program.cpp
+++ b/src/node/node_program.cpp
@@ -205,6 +205,7 @@
   if (now >= next_idle_close_) {
     next_idle_close_ = now + kIdleCloseIntervalMs;
     forwarder_->upstream().close_idle(now);
+    forwarder_->tick(now);
   }
   if (stopping_since_ != 0) continue_stop(now);
   if (stopping_since_ != 0 && may_exit(now)) return io_.stop();
