--- a/standins/tier/engine.cpp
+++ b/standins/tier/engine.cpp
@@ -68,48 +68,89 @@
   return received_;
 }
 
-asio::awaitable<void> Engine::handle(std::shared_ptr<HttpExchange> exchange) {
+void Engine::record(const HttpRequest& request) {
+  const std::lock_guard lock(mutex_);
+  received_.push_back({std::string(request.header("X-Request-Id")), request.target,
+                       std::string(request.header("X-Tenant")), request.body,
+                       std::string(request.header("Last-Event-Id")), std::string(request.header("X-Api-Key")),
+                       steady_now()});
+}
+
+asio::awaitable<void> Engine::wait_before_second_answer() {
+  constexpr unsigned kMaxDelayMs = 40;
+  co_await sleep_for(loop_.io(), 1 + static_cast<Millis>(random_() % kMaxDelayMs));
+}
+
+asio::awaitable<void> Engine::respond(std::shared_ptr<HttpExchange> exchange, int status, HeaderList headers,
+                                      std::string body) {
+  const bool twice = answers_twice_;
+  co_await exchange->respond(status, headers, body);
+  if (!twice) co_return;
+  co_await wait_before_second_answer();
+  co_await exchange->respond(status, headers, body);
+}
+
+asio::awaitable<void> Engine::stream(std::shared_ptr<HttpExchange> exchange, HeaderList headers) {
+  const bool twice = answers_twice_;
+  if (!co_await send_events(exchange, headers) || !twice) co_return;
+  co_await wait_before_second_answer();
+  co_await send_events(exchange, headers);
+}
+
+asio::awaitable<bool> Engine::send_events(std::shared_ptr<HttpExchange> exchange, HeaderList headers) {
   const HttpRequest& request = exchange->request;
-  const std::string id(request.header("X-Request-Id"));
-  HeaderList headers = headers_of(id, "X-Response-Signature", "signature of " + id);
-  std::string instance;
-  {
-    const std::lock_guard lock(mutex_);
-    instance = id_;
-  }
-  if (const std::string_view expected = request.header("X-Expect-Instance");
-      !expected.empty() && expected != instance) {
-    co_return co_await exchange->respond(421, headers_of(id, "X-Instance-Id", instance), "");
-  }
   const EngineMode mode = mode_;
-  if (mode == EngineMode::kFull) {
-    co_return co_await exchange->respond(503, headers_of(id, "X-Not-Executed", "1"), "");
-  }
-  {
-    const std::lock_guard lock(mutex_);
-    received_.push_back({id, request.target, std::string(request.header("X-Tenant")), request.body,
-                         std::string(request.header("Last-Event-Id")),
-                         std::string(request.header("X-Api-Key"))});
-  }
-  if (mode == EngineMode::kError) co_return co_await exchange->respond(500, headers, "broken");
-  if (mode == EngineMode::kUnprocessable) co_return co_await exchange->respond(422, headers, "never");
-  headers.emplace_back("Content-Type", "text/event-stream");
   std::uint64_t first = 1;
   if (const std::string_view last = request.header("Last-Event-Id"); !last.empty())
     first = std::stoul(std::string(last)) + 1;
-  if (!co_await exchange->start(200, headers, false, 0)) co_return;
+  if (!co_await exchange->start(200, headers, false, 0)) co_return false;
   for (auto number = first; number <= static_cast<std::uint64_t>(events_); ++number) {
     if (mode == EngineMode::kCutInEvent && number == first + 1) {
       mode_ = EngineMode::kStream;
       const std::string event = event_of(number);
       co_await exchange->write(std::string_view(event).substr(0, event.size() / 2));
       exchange->abort();
-      co_return;
+      co_return false;
     }
-    if (!co_await exchange->write(event_of(number))) co_return;
+    if (!co_await exchange->write(event_of(number))) co_return false;
     if (pause_ms_ > 0) co_await sleep_for(loop_.io(), pause_ms_);
   }
   co_await exchange->finish();
+  co_return true;
+}
+
+asio::awaitable<void> Engine::handle(std::shared_ptr<HttpExchange> exchange) {
+  const HttpRequest& request = exchange->request;
+  const std::string id(request.header("X-Request-Id"));
+  HeaderList headers = headers_of(id, "X-Response-Signature", "signature of " + id);
+  std::string instance;
+  {
+    const std::lock_guard lock(mutex_);
+    instance = id_;
+  }
+  if (const std::string_view expected = request.header("X-Expect-Instance");
+      !expected.empty() && expected != instance) {
+    co_return co_await respond(exchange, 421, headers_of(id, "X-Instance-Id", instance), "");
+  }
+  const EngineMode mode = mode_;
+  const bool is_full = mode == EngineMode::kFull || (mode == EngineMode::kFullAtTimes && random_() % 2 == 0);
+  if (is_full) {
+    co_return co_await respond(exchange, 503, headers_of(id, "X-Not-Executed", "1"), "");
+  }
+  record(request);
+  switch (mode) {
+    case EngineMode::kError:
+      co_return co_await respond(exchange, 500, headers, "broken");
+    case EngineMode::kUnprocessable:
+      co_return co_await respond(exchange, 422, headers, "never");
+    case EngineMode::kRefuseAfterRun:
+      co_return co_await respond(exchange, 503, headers, "too late");
+    case EngineMode::kLoseAnswer:
+      co_return exchange->abort();
+    default:
+      headers.emplace_back("Content-Type", "text/event-stream");
+      co_await stream(exchange, std::move(headers));
+  }
 }
 
 Platform::Platform(IoThread& loop, std::string address) : address_(std::move(address)) {
--- a/standins/tier/engine.h
+++ b/standins/tier/engine.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -32,16 +33,20 @@
 
 // How an engine answers the next requests.
 enum class EngineMode {
-  kStream,        // sends all events
-  kCutInEvent,    // aborts the connection within the second event, once; then kStream
-  kFull,          // 503 with X-Not-Executed
-  kError,         // 500
-  kUnprocessable  // 422
+  kStream,          // sends all events
+  kCutInEvent,      // aborts the connection within the second event, once; then kStream
+  kFull,            // 503 with X-Not-Executed
+  kFullAtTimes,     // half of the requests as kFull, the others as kStream
+  kError,           // 500
+  kUnprocessable,   // 422
+  kRefuseAfterRun,  // runs the request, then 503 without X-Not-Executed
+  kLoseAnswer       // runs the request, then aborts the connection without an answer
 };
 
 // A request as an engine received it.
 struct ReceivedRequest {
   std::string id, target, tenant, body, last_event_id, api_key;
+  Millis received_at = 0;
 };
 
 // A model server that answers with an event stream.
@@ -54,6 +59,8 @@
   void set_instance(std::string id);
   // Pause between events, for tests that act in the middle of a stream.
   void set_pause_ms(int pause) { pause_ms_ = pause; }
+  // Whether each complete answer is sent a second time, some milliseconds after the first.
+  void set_answers_twice(bool twice) { answers_twice_ = twice; }
   std::vector<ReceivedRequest> received() const;
   std::size_t runs() const { return received().size(); }
   // The complete answer body of an engine with the default number of events.
@@ -62,12 +69,21 @@
 
  private:
   boost::asio::awaitable<void> handle(std::shared_ptr<HttpExchange> exchange);
+  boost::asio::awaitable<void> respond(std::shared_ptr<HttpExchange> exchange, int status, HeaderList headers,
+                                       std::string body);
+  boost::asio::awaitable<void> stream(std::shared_ptr<HttpExchange> exchange, HeaderList headers);
+  // False if the events stopped before the last one.
+  boost::asio::awaitable<bool> send_events(std::shared_ptr<HttpExchange> exchange, HeaderList headers);
+  boost::asio::awaitable<void> wait_before_second_answer();
+  void record(const HttpRequest& request);
 
   IoThread& loop_;
   std::string address_;
   int events_;
+  std::mt19937 random_{1};  // used on the loop only
   std::atomic<EngineMode> mode_{EngineMode::kStream};
   std::atomic<int> pause_ms_{0};
+  std::atomic<bool> answers_twice_{false};
   mutable std::mutex mutex_;
   std::string id_;
   std::vector<ReceivedRequest> received_;
--- a/tests/system/soak_test.cpp
+++ b/tests/system/soak_test.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr int kSoakSeconds = 20;
+constexpr Millis kSentAt = 1000, kRunAt = 1500, kEndedAt = 2000;
 constexpr std::uint64_t kPlannedSeed = 2, kUnplannedSeed = 3;
 
 LiveRequest live_request(const std::string& id, bool idempotent, int status) {
@@ -26,11 +27,11 @@
   out.body = "body";
   out.tenant = "t";
   out.idempotent = idempotent;
-  out.sent_at = 1000;
+  out.sent_at = kSentAt;
   out.outcome.status = status;
   out.outcome.response_complete = status != 0;
   out.outcome.request_sent = true;
-  out.outcome.ended_at = 2000;
+  out.outcome.ended_at = kEndedAt;
   return out;
 }
 
@@ -41,6 +42,7 @@
   out.target = "/x";
   out.body = "body";
   out.tenant = "t";
+  out.received_at = kRunAt;
   return out;
 }
 
@@ -128,6 +130,34 @@
   CHECK(violations_of(kept, {changed}).size() == 1);
 }
 
+TEST_CASE("a run belongs to the attempt before it, and a refusal to the attempt that it answers") {
+  const auto violations_with_runs = [](bool idempotent, const std::vector<Millis>& runs, bool from_server) {
+    Oracle oracle;
+    oracle.on_sent(live_request("a", idempotent, 0));
+    RequestOutcome refusal;
+    refusal.status = 503;
+    refusal.response_complete = refusal.request_sent = true;
+    refusal.from_server = from_server;
+    refusal.ended_at = kEndedAt;
+    oracle.on_outcome("a", refusal);
+    oracle.on_retry("a", 1, kEndedAt);
+    RequestOutcome served = refusal;
+    served.status = 200;
+    oracle.on_outcome("a", served);
+    std::vector<standins::ReceivedRequest> seen(runs.size(), seen_request("a"));
+    for (std::size_t i = 0; i < runs.size(); ++i) seen[i].received_at = runs[i];
+    oracle.check(seen);
+    return oracle.violations().size();
+  };
+  CHECK(violations_with_runs(false, {kEndedAt + 1}, false) == 0);
+  CHECK(violations_with_runs(false, {kRunAt}, false) == 1);                // REFUSED
+  CHECK(violations_with_runs(false, {kRunAt}, true) == 1);                 // REFUSED, by whomever
+  CHECK(violations_with_runs(false, {kRunAt, kEndedAt + 1}, false) == 2);  // and TWICE
+  CHECK(violations_with_runs(false, {kEndedAt + 1, kEndedAt + 2}, false) == 1);
+  CHECK(violations_with_runs(true, {kRunAt, kEndedAt + 1}, false) == 1);
+  CHECK(violations_with_runs(true, {kRunAt, kEndedAt + 1}, true) == 0);  // the server's own word
+}
+
 TEST_CASE("a loss beside unplanned trouble, or at the close of a connection, is not owed") {
   const auto violations_beside_fault = [](const LiveRequest& sent, Millis from, Millis until) {
     Oracle oracle;
--- a/tools/soak/clients.cpp
+++ b/tools/soak/clients.cpp
@@ -4,6 +4,7 @@
 #include <rapidjson/document.h>
 
 #include <chrono>
+#include <cstdlib>
 #include <thread>
 
 namespace nettlestand::tier::soak {
@@ -17,6 +18,8 @@
 constexpr Millis kCallTimeoutMs = 4000;
 constexpr Millis kReadIntervalMs = 150;
 constexpr std::uint64_t kMaxThinkTimeMs = 12;
+constexpr std::uint64_t kMaxRetryDelayMs = 40;  // of a client that does not heed Retry-After
+constexpr std::size_t kMaxRetries = 3;
 constexpr std::size_t kLargeBodyBytes = 180U << 10;
 constexpr std::size_t kChunkBytes = 7000;
 constexpr std::size_t kMaxSubmitAttempts = 6;
@@ -46,17 +49,23 @@
 }
 
 // Like the platform, opens new connections only to nodes that report themselves as ready.
-bool LiveClient::connect() {
-  node_ = random_below(context_.world.edges());
+bool LiveClient::connect() { return connect_to(random_below(context_.world.edges())); }
+
+bool LiveClient::connect_to(std::size_t node) {
+  node_ = node;
   if (!context_.world.ready(node_)) return false;
   return connection_.open(context_.world.front_address(node_), kConnectTimeoutMs);
 }
 
+std::string LiveClient::next_id() {
+  return "live-" + std::to_string(number_) + "-" + std::to_string(++last_request_number_);
+}
+
 LiveRequest LiveClient::next_request() {
   static constexpr const char* kRoutes[] = {"once", "resume", "again"};
   LiveRequest out;
   const std::size_t route = random_below(3);
-  out.id = "live-" + std::to_string(number_) + "-" + std::to_string(++last_request_number_);
+  out.id = next_id();
   out.target = std::string("/") + kRoutes[route] + "/x?of=" + out.id;
   out.body = body_of(out.id, random_below(20) == 0 ? kLargeBodyBytes : random_below(2000));
   out.tenant = kTenant;
@@ -84,9 +93,40 @@
 
 void LiveClient::request_once() {
   LiveRequest request = next_request();
-  const std::string bytes = encode_request(request, random_below(4) == 0);
   request.sent_at = steady_now();
   context_.oracle.on_sent(request);
+  for (std::size_t retries = 0;; ++retries) {
+    const standins::HttpResult answer = send(request);
+    if (answer.status == kOk && answer.complete) return check_served(request, answer);
+    if (!answer.complete || !guarantees_no_run(answer.status)) return;
+    if (retries == kMaxRetries || !prepare_retry(request, answer)) return;
+  }
+}
+
+// PROTOCOL.md gives each attempt an id of its own; clients that repeat the id are served as well.
+bool LiveClient::prepare_retry(LiveRequest& request, const standins::HttpResult& refusal) {
+  const auto after = refusal.headers.find("retry-after");
+  const bool waits = after != refusal.headers.end() && random_below(2) == 0;
+  const double seconds = waits ? std::strtod(after->second.c_str(), nullptr) : 0;
+  const auto delay = std::chrono::milliseconds(waits ? static_cast<Millis>(1000 * seconds)
+                                                     : static_cast<Millis>(random_below(kMaxRetryDelayMs)));
+  std::this_thread::sleep_for(delay);
+  connection_.close();
+  const bool same_node = random_below(2) == 0;
+  if (context_.stopping || !(same_node ? connect_to(node_) : connect())) return false;
+  if (random_below(2) == 0) {
+    context_.oracle.on_retry(request.id, node_, steady_now());
+    return true;
+  }
+  request.id = next_id();
+  request.node = node_;
+  request.sent_at = steady_now();
+  context_.oracle.on_sent(request);
+  return true;
+}
+
+standins::HttpResult LiveClient::send(const LiveRequest& request) {
+  const std::string bytes = encode_request(request, random_below(4) == 0);
   // Some clients disconnect in the middle of the response, or of their own request.
   const bool disconnects = random_below(50) == 0;
   const standins::HttpResult answer =
@@ -95,9 +135,13 @@
   outcome.status = answer.status;
   outcome.response_complete = answer.complete;
   outcome.request_sent = answer.whole_sent && !disconnects;
+  outcome.from_server = answer.headers.contains("x-response-signature");
   outcome.ended_at = steady_now();
   context_.oracle.on_outcome(request.id, outcome);
-  if (answer.status != kOk || !answer.complete) return;
+  return answer;
+}
+
+void LiveClient::check_served(const LiveRequest& request, const standins::HttpResult& answer) {
   const auto signature = answer.headers.find("x-response-signature");
   const bool own = signature != answer.headers.end() && signature->second == "signature of " + request.id;
   if (!own)
--- a/tools/soak/clients.h
+++ b/tools/soak/clients.h
@@ -35,7 +35,15 @@
 
  private:
   bool connect();
+  bool connect_to(std::size_t node);
   void request_once();
+  // Makes one attempt and reports its outcome.
+  standins::HttpResult send(const LiveRequest& request);
+  void check_served(const LiveRequest& request, const standins::HttpResult& answer);
+  // Prepares the next attempt of a request that was refused: waits, connects again, and sometimes takes a new
+  // id. False if there is none.
+  bool prepare_retry(LiveRequest& request, const standins::HttpResult& refusal);
+  std::string next_id();
   LiveRequest next_request();
   std::string encode_request(const LiveRequest& request, bool chunked) const;
   // A random number in [0, bound).
--- a/tools/soak/fault_injector.cpp
+++ b/tools/soak/fault_injector.cpp
@@ -22,6 +22,7 @@
 constexpr int kCleanExit = 0;
 constexpr int kEndedBySigterm = 128 + SIGTERM;  // terminated by the signal before the program was executed
 constexpr std::uint64_t kPlannedFaultKinds = 5;
+constexpr std::uint64_t kUnplannedFaultKinds = 11;
 
 }  // namespace
 
@@ -123,6 +124,20 @@
                                 [this, engine] { world_.engine(engine).set_mode(EngineMode::kStream); });
 }
 
+// Breaks no connection, so every response is still owed.
+void FaultInjector::answer_twice(Millis duration) {
+  for (std::size_t i = 0; i < world_.engines(); ++i) {
+    world_.engine(i).set_mode(EngineMode::kFullAtTimes);
+    world_.engine(i).set_answers_twice(true);
+  }
+  scheduled_recoveries_.emplace(steady_now() + duration, [this] {
+    for (std::size_t i = 0; i < world_.engines(); ++i) {
+      world_.engine(i).set_mode(EngineMode::kStream);
+      world_.engine(i).set_answers_twice(false);
+    }
+  });
+}
+
 // ---------------------------------------------------------------- schedule
 
 void FaultInjector::inject() {
@@ -145,7 +160,7 @@
   const auto random_duration = [this](std::uint64_t max_ms) {
     return static_cast<Millis>(100 + random_below(max_ms));
   };
-  switch (random_below(7)) {
+  switch (random_below(kUnplannedFaultKinds)) {
     case 0:
       return kill(random_node(), random_duration(1500));
     case 1:  // all stores at once
@@ -159,6 +174,13 @@
       return set_engine_mode(EngineMode::kFull, random_duration(2500));
     case 5:
       return set_engine_mode(EngineMode::kError, random_duration(800));
+    case 6:
+    case 7:
+      return answer_twice(random_duration(2500));
+    case 8:
+      return set_engine_mode(EngineMode::kRefuseAfterRun, random_duration(800));
+    case 9:
+      return set_engine_mode(EngineMode::kLoseAnswer, random_duration(300));
     default:
       return set_engine_mode(EngineMode::kCutInEvent, random_duration(500));
   }
--- a/tools/soak/fault_injector.h
+++ b/tools/soak/fault_injector.h
@@ -49,6 +49,8 @@
   void pause(std::size_t node, Millis duration);
   void drain_server();
   void set_engine_mode(standins::EngineMode mode, Millis duration);
+  // All servers refuse half of the requests and send each answer twice.
+  void answer_twice(Millis duration);
   void schedule_restart(std::size_t node, Millis at);
   std::size_t random_node() { return random_below(world_.nodes()); }
   std::uint64_t random_below(std::uint64_t bound) { return random_() % bound; }
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -36,6 +36,8 @@
             << " refused, " << totals.unanswered << " unanswered, " << totals.jobs << " jobs, "
             << totals.results << " results, " << report.signals << " signals, " << report.changes
             << " changes, " << report.violations.size() << " violations" << std::endl;
+  for (const auto& [kind, count] : report.violation_counts)
+    std::cout << "  " << count << " x " << kind << std::endl;
   for (const std::string& line : report.violations) std::cout << "  " << line << std::endl;
 }
 
--- a/tools/soak/oracle.cpp
+++ b/tools/soak/oracle.cpp
@@ -1,6 +1,7 @@
 #include "soak/oracle.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 namespace nettlestand::tier::soak {
@@ -16,15 +17,15 @@
 constexpr int kTooManyRequests = 429, kServiceUnavailable = 503, kRequestTimeout = 408,
               kMisdirectedRequest = 421, kUnauthorized = 401;
 
-// Whether the status guarantees that the request has not run and will not run.
+}  // namespace
+
 bool guarantees_no_run(int status) {
   return status == kTooManyRequests || status == kServiceUnavailable || status == kRequestTimeout ||
          status == kMisdirectedRequest;
 }
 
-}  // namespace
-
 void Oracle::add_violation(const std::string& what) {
+  ++violation_counts_[what.substr(0, what.find(':'))];
   if (violations_.size() < kMaxViolations) violations_.push_back(what);
 }
 
@@ -43,6 +44,15 @@
   requests_.emplace(request.id, request);
 }
 
+void Oracle::on_retry(const std::string& id, std::size_t node, Millis sent_at) {
+  const std::lock_guard lock(mutex_);
+  LiveRequest& request = requests_.at(id);
+  request.refused.push_back(request);
+  request.node = node;
+  request.sent_at = sent_at;
+  request.outcome = {};
+}
+
 void Oracle::on_outcome(const std::string& id, const RequestOutcome& outcome) {
   const std::lock_guard lock(mutex_);
   requests_.at(id).outcome = outcome;
@@ -140,13 +150,33 @@
                 std::to_string(request.node) + (was_forwarded ? ", forwarded: " : ", read: ") + request.id);
 }
 
+// A run belongs to the last attempt that was sent before it. An idempotent request may be refused after a run
+// by its server, whose response is passed on unchanged, but not by the node.
+void Oracle::check_refusals(const LiveRequest& request, const std::vector<Millis>& runs) {
+  std::vector<RequestAttempt> attempts = request.refused;
+  attempts.push_back(request);
+  for (std::size_t i = 0; i < attempts.size(); ++i) {
+    const RequestOutcome& outcome = attempts[i].outcome;
+    if (!guarantees_no_run(outcome.status)) continue;
+    if (request.idempotent && outcome.from_server) continue;
+    const Millis from = attempts[i].sent_at;
+    const Millis until =
+        i + 1 < attempts.size() ? attempts[i + 1].sent_at : std::numeric_limits<Millis>::max();
+    const bool ran =
+        std::any_of(runs.begin(), runs.end(), [&](Millis at) { return at >= from && at < until; });
+    if (!ran) continue;
+    add_violation(std::string("REFUSED by ") + (outcome.from_server ? "a server" : "the node") +
+                  ", but it ran: " + request.id);
+  }
+}
+
 void Oracle::check_live(const std::vector<standins::ReceivedRequest>& runs) {
-  std::map<std::string, std::size_t> counts;
+  std::map<std::string, std::vector<Millis>> run_times;
   for (const standins::ReceivedRequest& run : runs) {
     const auto found = requests_.find(run.id);
     if (found == requests_.end()) continue;
     const LiveRequest& request = found->second;
-    ++counts[run.id];
+    run_times[run.id].push_back(run.received_at);
     if (run.body != request.body) add_violation("UNASKED: a server received the wrong body: " + run.id);
     if (run.target != request.target)
       add_violation("UNASKED: a server received the wrong path or query: " + run.id);
@@ -154,10 +184,12 @@
     if (!run.api_key.empty()) add_violation("UNASKED: the API key was forwarded: " + run.id);
   }
   for (const auto& [id, request] : requests_) {
-    const std::size_t count = counts[id];
-    if (!request.idempotent && count > 1) add_violation("TWICE: " + id);
-    if (count > 0 && guarantees_no_run(request.outcome.status)) add_violation("REFUSED, but it ran: " + id);
-    check_response_owed(request, count > 0);
+    const std::vector<Millis>& times = run_times[id];
+    if (!request.idempotent && times.size() > 1) add_violation("TWICE: " + id);
+    check_refusals(request, times);
+    const bool was_forwarded =
+        std::any_of(times.begin(), times.end(), [&request](Millis at) { return at >= request.sent_at; });
+    check_response_owed(request, was_forwarded);
   }
 }
 
@@ -188,6 +220,11 @@
   check_items(runs);
 }
 
+std::map<std::string, std::size_t> Oracle::violation_counts() const {
+  const std::lock_guard lock(mutex_);
+  return violation_counts_;
+}
+
 Oracle::Totals Oracle::totals() const {
   const std::lock_guard lock(mutex_);
   Totals out;
--- a/tools/soak/oracle.h
+++ b/tools/soak/oracle.h
@@ -18,18 +18,27 @@
   int status = 0;                  // 0: no complete response head was received
   bool response_complete = false;  // the response was complete
   bool request_sent = false;       // the last byte of the request was written
+  bool from_server = false;        // the response has a server's signature
   Millis ended_at = 0;
 };
 
-// A live (interactive) request and its outcome.
-struct LiveRequest {
-  std::string id, target, body, tenant;
-  bool idempotent = false;
+// A request that was sent to a node.
+struct RequestAttempt {
   std::size_t node = 0;
   Millis sent_at = 0;
   RequestOutcome outcome;
 };
 
+// A live (interactive) request with its last attempt. `refused`: the attempts under the same id before it.
+struct LiveRequest : RequestAttempt {
+  std::string id, target, body, tenant;
+  bool idempotent = false;
+  std::vector<RequestAttempt> refused;
+};
+
+// Whether the status guarantees to a client that its request has not run and will not run.
+bool guarantees_no_run(int status);
+
 // A job as its client knows it. `rejected`: all attempts to submit it were rejected.
 struct SubmittedJob {
   std::string id, tenant;
@@ -43,6 +52,8 @@
 class Oracle {
  public:
   void on_sent(const LiveRequest& request);
+  // The request is sent again, under the same id, after it was refused.
+  void on_retry(const std::string& id, std::size_t node, Millis sent_at);
   void on_outcome(const std::string& id, const RequestOutcome& outcome);
   // An unplanned fault of a node: responses that the node loses in this interval are excused.
   void on_node_fault(std::size_t node, Millis from, Millis until);
@@ -67,6 +78,8 @@
   void set_expected_result(std::string text) { expected_result_ = std::move(text); }
 
   std::vector<std::string> violations() const;
+  // All violations, by what precedes the colon; violations() holds the first ones only.
+  std::map<std::string, std::size_t> violation_counts() const;
   struct Totals {
     std::size_t requests = 0, served = 0, rejected = 0, unauthorized = 0, unanswered = 0, jobs = 0,
                 results = 0;
@@ -78,6 +91,8 @@
     Millis from = 0, until = 0;
   };
   void check_live(const std::vector<standins::ReceivedRequest>& runs);
+  // Reports a refusal of a request that ran in this attempt; `runs` are the times of all its runs.
+  void check_refusals(const LiveRequest& request, const std::vector<Millis>& runs);
   // Reports a request that ended without a complete response although no fault excuses it.
   void check_response_owed(const LiveRequest& request, bool was_forwarded);
   void check_items(const std::vector<standins::ReceivedRequest>& runs);
@@ -92,6 +107,7 @@
   std::map<std::size_t, std::vector<FaultInterval>> fault_intervals_;
   std::vector<FaultInterval> global_fault_intervals_;
   std::vector<std::string> violations_;
+  std::map<std::string, std::size_t> violation_counts_;
   std::string expected_result_;
 };
 
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -96,6 +96,7 @@
   const std::vector<standins::ReceivedRequest> runs = recorded_runs(world);
   oracle.check(runs);
   report.violations = oracle.violations();
+  report.violation_counts = oracle.violation_counts();
   report.totals = oracle.totals();
   report.signals = fault_injector.signals();
   report.changes = config_operator.changes();
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,7 @@
 // `runs`: number of requests that the servers received.
 struct SoakReport {
   std::vector<std::string> violations;
+  std::map<std::string, std::size_t> violation_counts;
   Oracle::Totals totals;
   std::size_t signals = 0, changes = 0, runs = 0;
 };
