Promise no client that its request did not run on a server's bare 503, 429 or 408

Callers saw: a note that had been written answered 503, so they sent it again and it was written twice.

Cause: towards a client 429, 503 and 408 promise that the request has not run. A server that gives one without X-Not-Executed promises nothing, but Forwarder::attempt passed it on unchanged, so the meaning of the status changed on the way. Class of fault: a word that means less upstream than downstream.

Now such a response ends a request that may run once with 502, which promises nothing, without the server's signature. Requests that may be repeated get the server's status as before: their clients repeat them after any failure.

System.single_run, 'a refusal that comes from a server without proof ...', failed before (503 == 502) and passes.

--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -191,6 +191,8 @@
     upstream_->call_counters().count(CallEvent::kUnprovenRefusal);
     NETTLESTAND_DEBUG("refusal without proof id=" << request.id << " server=" << server.id
                                                   << " status=" << head.status);
+    // To its client it would be the promise that the request did not run, which the server has not given.
+    if (!request.route->repeatable()) co_return release_and_end(CallOutcome::kServerError);
   }
   const bool success = is_success(head.status);
   if (!success && (progress.may_retry || progress.head_forwarded))
