Let a connection to a server carry each request id once

Callers saw: a request that was refused and sent again ran at two servers, or was refused while it ran.

Cause: responses are told apart by X-Request-Id. On a connection that has carried the id before, a surplus refusal of the first call is the same to the byte as a refusal of the second, which the server is running; the forwarder took it as proof and went to another server. The look at an idle connection's socket comes before the send, so a later byte escapes it. Items come again under their id as a rule, so a surplus 500 counted as a further failure of an item. Class of fault: a reply is matched to its request by an identifier that isn't unique to the request.

The pool now hands out a connection only for ids that it has not carried, and closes one after 256 calls, so that what it remembers is bounded. A response with the id can then only belong to the call in progress. That a connection's other idle peers stay usable keeps new connections few.

--- a/src/forwarding/call_counters.h
+++ b/src/forwarding/call_counters.h
@@ -16,7 +16,7 @@
   kRepeatedSend,     // a request was sent to a further server
   kForeignResponse,  // a response to another request was skipped
   kUnprovenRefusal,  // a response refuses a request (429, 503, ...) without proof that it did not run
-  kRepeatedId        // a request's id was sent before on the connection that is to carry it
+  kRepeatedId        // a connection was passed over since it has carried a request with the same id
 };
 inline constexpr std::size_t kCallEventCount = 4;
 const char* name_of(CallEvent event);
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -144,7 +144,8 @@
     pool_.on_call_ended(steady_now(), server.id, outcome, request.is_item, first_byte);
     return sink.client_gone && !never_ran(outcome) ? CallOutcome::kClientGone : outcome;
   };
-  UpstreamConnectionPtr connection = co_await upstream_->open(server.address, request.deadline, force_new);
+  UpstreamConnectionPtr connection =
+      co_await upstream_->open(server.address, request.id, request.deadline, force_new);
   if (!connection) co_return end_call(CallOutcome::kNotSent);
   // The server list and the configuration may have changed while the connection was established.
   const bool allowed = !request.may_send || request.may_send();
--- a/src/forwarding/upstream.cpp
+++ b/src/forwarding/upstream.cpp
@@ -36,6 +36,7 @@
 constexpr std::uint32_t kMaxHeadBytes = 64U << 10;
 constexpr std::size_t kReadBufferBytes = 8U << 10;
 constexpr std::size_t kMaxIdlePerServer = 64;
+constexpr std::size_t kMaxCallsPerConnection = 256;  // a connection remembers the ids of all its calls
 
 std::string_view view_of(beast::string_view text) { return {text.data(), text.size()}; }
 
@@ -84,7 +85,7 @@
 
   asio::awaitable<bool> send(OutgoingRequest request, Millis deadline, bool& sent) override {
     request_id_ = request.id;
-    note_request_id();
+    carried_ids_.push_back(digest_of(request_id_));
     head_only_ = request.head_only;
     complete_ = false;
     read_error_ = {};
@@ -152,9 +153,14 @@
 
   bool is_reusable() const override {
     if (!complete_ || has_foreign_response_ || read_error_) return false;
+    if (carried_ids_.size() >= kMaxCallsPerConnection) return false;
     return parser_ && parser_->keep_alive() && buffer_.size() == 0;
   }
 
+  // Whether it has carried a request whose id has this digest.
+  bool has_carried(std::uint64_t id_digest) const {
+    return std::find(carried_ids_.begin(), carried_ids_.end(), id_digest) != carried_ids_.end();
+  }
   // Whether an idle connection still looks usable: neither closed by the server nor holding unsolicited
   // bytes.
   bool looks_alive(Millis now) {
@@ -172,14 +178,6 @@
   Millis idle_until() const { return idle_until_; }
 
  private:
-  // Remembers the ids of the requests that this connection has carried.
-  void note_request_id() {
-    const std::uint64_t digest = digest_of(request_id_);
-    const bool repeated = std::find(carried_ids_.begin(), carried_ids_.end(), digest) != carried_ids_.end();
-    if (!repeated) return carried_ids_.push_back(digest);
-    counters_->count(CallEvent::kRepeatedId);
-    NETTLESTAND_DEBUG("request id sent again on its connection id=" << request_id_);
-  }
   // Compares the body with its digest; logs and counts a difference.
   bool verify_body(const OutgoingRequest& request) {
     const std::string_view bytes = request.bytes;
@@ -241,13 +239,28 @@
 UpstreamConnectionPool::UpstreamConnectionPool(asio::io_context& io) : io_(io) {}
 UpstreamConnectionPool::~UpstreamConnectionPool() = default;
 
-asio::awaitable<UpstreamConnectionPtr> UpstreamConnectionPool::open(std::string address, Millis deadline,
-                                                                    bool force_new) {
+std::shared_ptr<UpstreamConnectionPool::Connection> UpstreamConnectionPool::take_idle(
+    const std::string& address, const std::string& request_id) {
   auto& idle = idle_[address];
-  while (!force_new && !idle.empty()) {
-    std::shared_ptr<Connection> connection = std::move(idle.back());
-    idle.pop_back();
-    if (connection->looks_alive(steady_now())) co_return connection;
+  const std::uint64_t id_digest = digest_of(request_id);
+  for (std::size_t at = idle.size(); at-- > 0;) {
+    if (idle[at]->has_carried(id_digest)) {
+      call_counters_->count(CallEvent::kRepeatedId);
+      NETTLESTAND_DEBUG("connection passed over, it has carried the request's id id=" << request_id);
+      continue;
+    }
+    std::shared_ptr<Connection> connection = std::move(idle[at]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
+    if (connection->looks_alive(steady_now())) return connection;
+  }
+  return nullptr;
+}
+
+asio::awaitable<UpstreamConnectionPtr> UpstreamConnectionPool::open(std::string address,
+                                                                    std::string request_id, Millis deadline,
+                                                                    bool force_new) {
+  if (!force_new) {
+    if (auto idle = take_idle(address, request_id)) co_return idle;
   }
   auto connection = std::make_shared<Connection>(io_, body_check_, call_counters_);
   if (!co_await connection->connect(address, deadline)) co_return nullptr;
--- a/src/forwarding/upstream.h
+++ b/src/forwarding/upstream.h
@@ -62,10 +62,13 @@
 class Upstream {
  public:
   virtual ~Upstream() = default;
-  // Returns an idle connection that looks alive, or a new one; always a new one if `force_new`. Null if none
-  // could be established in time.
-  virtual boost::asio::awaitable<UpstreamConnectionPtr> open(std::string address, Millis deadline,
-                                                             bool force_new) = 0;
+  // Returns an idle connection that looks alive and has carried no request with this id, or a new one; always
+  // a new one if `force_new`. Null if none could be established in time.
+  //
+  // A surplus response to an earlier request can't be told from the response to a later one with the same id,
+  // so a connection carries each id once.
+  virtual boost::asio::awaitable<UpstreamConnectionPtr> open(std::string address, std::string request_id,
+                                                             Millis deadline, bool force_new) = 0;
   // Returns a connection whose call has ended: it is kept for the next call, or closed.
   virtual void release(const std::string& address, UpstreamConnectionPtr connection) = 0;
   // Closes the connections whose idle timeout has expired.
@@ -81,8 +84,8 @@
  public:
   explicit UpstreamConnectionPool(boost::asio::io_context& io);
   ~UpstreamConnectionPool() override;
-  boost::asio::awaitable<UpstreamConnectionPtr> open(std::string address, Millis deadline,
-                                                     bool force_new) override;
+  boost::asio::awaitable<UpstreamConnectionPtr> open(std::string address, std::string request_id,
+                                                     Millis deadline, bool force_new) override;
   void release(const std::string& address, UpstreamConnectionPtr connection) override;
   void close_idle(Millis now) override;
   // Counts request bodies that did not match their digest before or after they were sent.
@@ -90,6 +93,8 @@
 
  private:
   class Connection;
+  // Takes the idle connection that was used last and may carry the request; null if there is none.
+  std::shared_ptr<Connection> take_idle(const std::string& address, const std::string& request_id);
   boost::asio::io_context& io_;
   std::shared_ptr<BodyIntegrityCounters> body_check_ =
       std::make_shared<BodyIntegrityCounters>();  // shared with the connections
--- a/tests/system/traffic_world.cpp
+++ b/tests/system/traffic_world.cpp
@@ -166,7 +166,7 @@
 class FakeUpstream : public Upstream {
  public:
   explicit FakeUpstream(World& world) : world_(world) {}
-  asio::awaitable<UpstreamConnectionPtr> open(std::string, Millis, bool) override {
+  asio::awaitable<UpstreamConnectionPtr> open(std::string, std::string, Millis, bool) override {
     const Behaviour behaviour = random_behaviour(world_);
     co_await world_.yield_randomly();
     if (behaviour == Behaviour::kNoConnection) co_return nullptr;
--- a/tests/system/wire_test.cpp
+++ b/tests/system/wire_test.cpp
@@ -36,7 +36,7 @@
                                       std::string id) {
   CallResult got;
   const Millis deadline = steady_now() + kTestTimeoutMs;
-  UpstreamConnectionPtr connection = co_await connections.open(address, deadline, false);
+  UpstreamConnectionPtr connection = co_await connections.open(address, id, deadline, false);
   if (!connection) co_return got;
   bool sent = false;
   OutgoingRequest request;
@@ -131,6 +131,28 @@
   CHECK(server.connections() == 1);
 }
 
+TEST_CASE("a connection carries each request id once, and not without end") {
+  ScriptedServer server([](int fd, int, const std::string& request) {
+    send_all(fd, http_response(request_id_of(request), "body", kKeepAlive));
+    return true;
+  });
+  SECTION("an id that comes again goes on another connection, other ids stay") {
+    for (const CallResult& got : make_calls(server, {"a", "b", "a", "c", "b", "d"}))
+      CHECK(got.body == "body");
+    CHECK(server.connections() == 2);
+    make_calls(server, {"a", "a", "a"});
+    CHECK(server.connections() == 2 + 3);
+  }
+  SECTION("a connection is closed before the ids that it has to remember grow without end") {
+    constexpr int kCalls = 600, kMaxConnections = 3;
+    std::vector<std::string> ids;
+    for (int i = 0; i < kCalls; ++i) ids.push_back("r" + std::to_string(i));
+    for (const CallResult& got : make_calls(server, ids)) CHECK(got.body == "body");
+    CHECK(server.connections() > 1);
+    CHECK(server.connections() <= kMaxConnections);
+  }
+}
+
 TEST_CASE("an answer without a length is whole at an orderly end, and not at a reset") {
   const auto serve = [](bool resets) {
     return [resets](int fd, int, const std::string& request) {
@@ -222,7 +244,7 @@
 asio::awaitable<Read> send_long_request(UpstreamConnectionPool& connections, std::string address,
                                         std::string id, Millis patience, Millis cancel_after) {
   const Millis deadline = steady_now() + patience;
-  const UpstreamConnectionPtr connection = co_await connections.open(address, deadline, false);
+  const UpstreamConnectionPtr connection = co_await connections.open(address, id, deadline, false);
   if (!connection) co_return Read::kBroken;
   asio::steady_timer cancel_timer(co_await asio::this_coro::executor);
   if (cancel_after > 0) {
