Repeat a request only where its route allows that now, too

Callers would see: a request that may not be repeated any more, by a change of its route's class or a new route over its path, is sent to a second server after it ran at a first.

Cause: Forwarder::forward took the class from the configuration with which the request came; the check before each send asked the configuration in force for route, key and service alone. Class of fault: a decision that outlives the state it rests on.

The check now says what may be done, SendPermission: nothing, one run, or further runs; the class with which the request came stays an upper bound. It is asked before each attempt, again once a connection is there, and where a server's bare refusal could be passed on.

--- a/src/batch/item_runner.cpp
+++ b/src/batch/item_runner.cpp
@@ -146,8 +146,8 @@
                                         << " reason=" << name_of(run.reason) << " epoch=" << tenure.epoch
                                         << " tenure=" << tenure.number);
   ForwardRequest request = request_for(now, run, job);
-  request.may_send = [this, id = run.id, key = run.key, service = request.service] {
-    return may_send(id, key, service);
+  request.permission = [this, id = run.id, key = run.key, service = request.service] {
+    return may_send(id, key, service) ? SendPermission::kRepeatable : SendPermission::kDenied;
   };
   auto sink = std::make_shared<TextSink>(run.partial_text);
   sinks_.emplace(run.id, sink);
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -53,6 +53,13 @@
          status == kUnavailable;
 }
 
+// What both the route that the request came with and the configuration in force allow.
+SendPermission current_permission(const ForwardRequest& request) {
+  const SendPermission current = request.permission ? request.permission() : SendPermission::kRepeatable;
+  if (current == SendPermission::kRepeatable && !request.route->repeatable()) return SendPermission::kOnce;
+  return current;
+}
+
 bool is_success(int status) { return status >= 200 && status < 300; }
 
 }  // namespace
@@ -101,14 +108,16 @@
   while (progress.tried.size() < kMaxServersTried) {
     const Millis now = steady_now();
     if (now + kMinTimeLeftMs >= request.deadline) break;
-    const bool repeatable = request.route->repeatable();
     const bool resume = progress.head_forwarded;
-    if (progress.runs >= max_runs || (progress.runs > 0 && !repeatable)) break;
+    if (progress.runs >= max_runs) break;
     if (resume && (!request.route->resumable || !progress.is_stream)) break;
-    if (request.may_send && !request.may_send()) {
+    const SendPermission permission = current_permission(request);
+    if (permission == SendPermission::kDenied) {
       refusal = ForwardRefusal::kWithdrawn;
       break;
     }
+    const bool repeatable = permission == SendPermission::kRepeatable;
+    if (progress.runs > 0 && !repeatable) break;
     const auto server = pool_.pick(now, request.service, progress.tried, request.is_item);
     if (!server) {
       if (progress.tried.empty()) refusal = ForwardRefusal::kNoServer;
@@ -148,11 +157,14 @@
       co_await upstream_->open(server.address, request.id, request.deadline, force_new);
   if (!connection) co_return end_call(CallOutcome::kNotSent);
   // The server list and the configuration may have changed while the connection was established.
-  const bool allowed = !request.may_send || request.may_send();
+  const SendPermission permission = current_permission(request);
+  const bool allowed = permission == SendPermission::kRepeatable ||
+                       (permission == SendPermission::kOnce && progress.runs == 0);
   if (sink.client_gone || !allowed || !pool_.is_usable(request.service, server.id)) {
     upstream_->release(server.address, std::move(connection));
     co_return end_call(CallOutcome::kNotSent);
   }
+  progress.may_retry = progress.may_retry && permission == SendPermission::kRepeatable;
   sink.cancel_call = [weak = std::weak_ptr<UpstreamConnection>(connection)] {
     if (const auto alive = weak.lock()) alive->cancel();
   };
@@ -193,7 +205,8 @@
     NETTLESTAND_DEBUG("refusal without proof id=" << request.id << " server=" << server.id
                                                   << " status=" << head.status);
     // To its client it would be the promise that the request did not run, which the server has not given.
-    if (!request.route->repeatable()) co_return release_and_end(CallOutcome::kServerError);
+    if (current_permission(request) != SendPermission::kRepeatable)
+      co_return release_and_end(CallOutcome::kServerError);
   }
   const bool success = is_success(head.status);
   if (!success && (progress.may_retry || progress.head_forwarded))
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -16,6 +16,13 @@
 
 namespace nettlestand::tier {
 
+// What the configuration in force says about sending a request now.
+enum class SendPermission : std::uint8_t {
+  kDenied,
+  kOnce,       // unless it may have run already
+  kRepeatable  // also after it has run
+};
+
 // A request to forward. It keeps its configuration alive, so `route` stays valid if a new one is applied.
 struct ForwardRequest {
   std::shared_ptr<const Configuration> configuration;
@@ -29,8 +36,9 @@
   bool is_item = false;             // item of a batch job
   std::uint64_t last_event_id = 0;  // resume after this event; 0: from the start
   bool has_last_event_id = false;
-  // Called right before each send: whether the request may still be sent.
-  std::function<bool()> may_send;
+  // Called right before each send, as the configuration may have changed since the request was received. Not
+  // set: kRepeatable. What `route` does not allow is never done.
+  std::function<SendPermission()> permission;
 };
 
 // Receives the response to a forwarded request.
@@ -62,7 +70,7 @@
   kNone,
   kTenantLimit,    // over the tenant's learned limit
   kNoServer,       // no eligible server has capacity
-  kWithdrawn,      // `may_send` said that it may no longer be sent
+  kWithdrawn,      // `permission` said that it may no longer be sent
   kServersRefused  // every server tried rejected it or could not be reached
 };
 
--- a/src/node/client_request_handler.cpp
+++ b/src/node/client_request_handler.cpp
@@ -180,18 +180,22 @@
   }
 }
 
-bool ClientRequestHandler::still_allowed(const std::string& host, const std::string& path,
-                                         const Caller& caller, const std::string& service) const {
-  if (!control_client_.has_config_lease(steady_now())) return false;
+SendPermission ClientRequestHandler::current_permission(const std::string& host, const std::string& path,
+                                                        const Caller& caller,
+                                                        const std::string& service) const {
+  if (!control_client_.has_config_lease(steady_now())) return SendPermission::kDenied;
   const auto current = control_client_.configuration();
   const Route* route = current->find_route(host, path);
-  if (route == nullptr) return false;
+  if (route == nullptr) return SendPermission::kDenied;
   if (caller.tenant_entry != nullptr) {
     const Tenant* key_owner = current->tenant_by_key(caller.key);
-    if (key_owner == nullptr || key_owner->name != caller.tenant) return false;
+    if (key_owner == nullptr || key_owner->name != caller.tenant) return SendPermission::kDenied;
   }
-  return std::any_of(route->split.begin(), route->split.end(),
-                     [&](const ServiceWeight& part) { return part.service == service && part.weight > 0; });
+  const bool has_service =
+      std::any_of(route->split.begin(), route->split.end(),
+                  [&](const ServiceWeight& part) { return part.service == service && part.weight > 0; });
+  if (!has_service) return SendPermission::kDenied;
+  return route->repeatable() ? SendPermission::kRepeatable : SendPermission::kOnce;
 }
 
 asio::awaitable<void> ClientRequestHandler::forward_request(
@@ -215,8 +219,10 @@
   forward.headers = forwarded_headers(request.headers);
   forward.body = std::move(request.body);
   forward.body_digest = request.body_digest;
-  forward.may_send = [this, host = request.host(), path = std::string(request.path()), caller,
-                      service = forward.service] { return still_allowed(host, path, caller, service); };
+  forward.permission = [this, host = request.host(), path = std::string(request.path()), caller,
+                        service = forward.service] {
+    return current_permission(host, path, caller, service);
+  };
 
   const auto sink = std::make_shared<ClientResponseSink>(exchange);
   exchange->on_disconnect = [weak = std::weak_ptr<ClientResponseSink>(sink)] {
--- a/src/node/client_request_handler.h
+++ b/src/node/client_request_handler.h
@@ -47,8 +47,8 @@
                                                std::shared_ptr<const Configuration> configuration,
                                                const Route& route, Caller caller);
   // Whether the configuration that is in force now still allows this request to go to this service.
-  bool still_allowed(const std::string& host, const std::string& path, const Caller& caller,
-                     const std::string& service) const;
+  SendPermission current_permission(const std::string& host, const std::string& path, const Caller& caller,
+                                    const std::string& service) const;
 
   // Answers with the status of the cause, and counts it.
   boost::asio::awaitable<void> refuse(std::shared_ptr<HttpExchange> exchange, RefusalCause cause,
