--- a/standins/tier/engine.cpp
+++ b/standins/tier/engine.cpp
@@ -63,6 +63,11 @@
   id_ = std::move(id);
 }
 
+std::string Engine::instance() const {
+  const std::lock_guard lock(mutex_);
+  return id_;
+}
+
 std::vector<ReceivedRequest> Engine::received() const {
   const std::lock_guard lock(mutex_);
   return received_;
@@ -123,14 +128,10 @@
   const HttpRequest& request = exchange->request;
   const std::string id(request.header("X-Request-Id"));
   HeaderList headers = headers_of(id, "X-Response-Signature", "signature of " + id);
-  std::string instance;
-  {
-    const std::lock_guard lock(mutex_);
-    instance = id_;
-  }
+  const std::string own_instance = instance();
   if (const std::string_view expected = request.header("X-Expect-Instance");
-      !expected.empty() && expected != instance) {
-    co_return co_await respond(exchange, 421, headers_of(id, "X-Instance-Id", instance), "");
+      !expected.empty() && expected != own_instance) {
+    co_return co_await respond(exchange, 421, headers_of(id, "X-Instance-Id", own_instance), "");
   }
   const EngineMode mode = mode_;
   const bool is_full = mode == EngineMode::kFull || (mode == EngineMode::kFullAtTimes && random_() % 2 == 0);
--- a/standins/tier/engine.h
+++ b/standins/tier/engine.h
@@ -57,6 +57,7 @@
   Engine(IoThread& loop, std::string id, std::string address, int events = kDefaultEvents);
   void set_mode(EngineMode mode) { mode_ = mode; }
   void set_instance(std::string id);
+  std::string instance() const;
   // Pause between events, for tests that act in the middle of a stream.
   void set_pause_ms(int pause) { pause_ms_ = pause; }
   // Whether each complete answer is sent a second time, some milliseconds after the first.
--- a/standins/tier/tier_world.cpp
+++ b/standins/tier/tier_world.cpp
@@ -73,7 +73,7 @@
   std::vector<Platform::Entry> out;
   for (std::size_t i = 0; i < engines_.size(); ++i) {
     Platform::Entry entry;
-    entry.id = "i-" + std::to_string(i);
+    entry.id = engines_[i]->instance();
     entry.service = "models";
     entry.address = engines_[i]->address();
     entry.zone = std::string("zone-") + static_cast<char>('a' + i % 3);
--- a/tools/soak/fault_injector.cpp
+++ b/tools/soak/fault_injector.cpp
@@ -22,7 +22,7 @@
 constexpr int kCleanExit = 0;
 constexpr int kEndedBySigterm = 128 + SIGTERM;  // terminated by the signal before the program was executed
 constexpr std::uint64_t kPlannedFaultKinds = 5;
-constexpr std::uint64_t kUnplannedFaultKinds = 11;
+constexpr std::uint64_t kUnplannedFaultKinds = 12;
 
 }  // namespace
 
@@ -124,6 +124,14 @@
                                 [this, engine] { world_.engine(engine).set_mode(EngineMode::kStream); });
 }
 
+void FaultInjector::replace_server(Millis lag) {
+  const std::size_t engine = random_below(world_.engines());
+  world_.engine(engine).set_instance("i-" + std::to_string(engine) + "-" +
+                                     std::to_string(++replaced_servers_));
+  scheduled_recoveries_.emplace(steady_now() + lag,
+                                [this] { world_.platform().set_servers(world_.full_server_list()); });
+}
+
 // Breaks no connection, so every response is still owed.
 void FaultInjector::answer_twice(Millis duration) {
   for (std::size_t i = 0; i < world_.engines(); ++i) {
@@ -180,6 +188,8 @@
     case 8:
       return set_engine_mode(EngineMode::kRefuseAfterRun, random_duration(800));
     case 9:
+      return replace_server(random_duration(1500));
+    case 10:
       return set_engine_mode(EngineMode::kLoseAnswer, random_duration(300));
     default:
       return set_engine_mode(EngineMode::kCutInEvent, random_duration(500));
--- a/tools/soak/fault_injector.h
+++ b/tools/soak/fault_injector.h
@@ -49,6 +49,8 @@
   void pause(std::size_t node, Millis duration);
   void drain_server();
   void set_engine_mode(standins::EngineMode mode, Millis duration);
+  // Another instance takes over a server's address; the list shows it later.
+  void replace_server(Millis lag);
   // All servers refuse half of the requests and send each answer twice.
   void answer_twice(Millis duration);
   void schedule_restart(std::size_t node, Millis at);
@@ -62,7 +64,7 @@
   Schedule scheduled_faults_;                  // pending faults of a series
   Schedule scheduled_recoveries_;              // pending actions that end a fault
   std::map<std::size_t, Millis> terminating_;  // nodes that received SIGTERM, and when
-  std::size_t signals_ = 0;
+  std::size_t signals_ = 0, replaced_servers_ = 0;
 };
 
 }  // namespace nettlestand::tier::soak
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -24,7 +24,8 @@
   out.plain_edges = options.edges;
   out.stores = options.stores;
   out.engines = options.engines;
-  out.more_settings = "[log]\nlevel = \"debug\"\n[bounds]\ngrace_s = 8\nglobal_revocation = true\nrevoke_ms = 5000\n";
+  out.more_settings =
+      "[log]\nlevel = \"debug\"\n[bounds]\ngrace_s = 8\nglobal_revocation = true\nrevoke_ms = 5000\n";
   return out;
 }
 
