Let one process at a time own a node's data directory

Cause: NodeProgram opened its disk, which seals the segment in use and begins the next one, before it bound its addresses, and nothing else held it off. The earlier process went on writing behind the seal, and what it synced and acknowledged was cut off at the next start, or the whole disk taken for damaged. Class of fault: one fact with two owners.

A process now takes an exclusive lock on its data directory before it opens it, and holds it until its last write has returned. One that finds it taken waits, for the grace period and 2 s at most, says so in its log, and heeds SIGTERM meanwhile.

--- a/src/node/node_program.cpp
+++ b/src/node/node_program.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <random>
+#include <thread>
 #include <utility>
 
 #include "batch/item_runner.h"
@@ -21,6 +22,8 @@
 constexpr Millis kConnectionCloseMs = 300;  // for the idle connections, which are closed after that delay
 constexpr Millis kGraceMarginMs = 500;      // by which the process exits before its grace period ends
 constexpr Millis kStoreStopDelayMs = 300;   // between the stop signal and the exit of a store
+constexpr auto kDataLockRetryInterval = std::chrono::milliseconds(20);
+constexpr Millis kDataLockMarginMs = 2000;  // beyond the grace period of the earlier process
 constexpr std::size_t kMaxOperatorHeaderBytes = 16384;
 constexpr std::size_t kMaxOperatorBodyBytes = 16U << 20;
 constexpr Millis kOperatorHeaderTimeoutMs = 5000, kOperatorIdleTimeoutMs = 15000;
@@ -50,6 +53,33 @@
 
 // ---------------------------------------------------------------- start
 
+absl::Status NodeProgram::lock_data_directory() {
+  if (!settings_.has_disk()) return absl::OkStatus();
+  auto lock = storage::DirectoryLock::try_acquire(settings_.data_dir);
+  if (absl::IsUnavailable(lock.status())) {
+    NETTLESTAND_WARNING("waiting for the data directory error=" << lock.status().message());
+    bool stopped = false;
+    signals_.async_wait(
+        [&stopped](boost::system::error_code error, int signal) { stopped = !error && signal != SIGHUP; });
+    const Millis deadline =
+        steady_now() + static_cast<Millis>(settings_.bounds.grace_s * 1000) + kDataLockMarginMs;
+    while (absl::IsUnavailable(lock.status()) && !stopped && steady_now() < deadline) {
+      std::this_thread::sleep_for(kDataLockRetryInterval);
+      io_.restart();
+      io_.poll();
+      lock = storage::DirectoryLock::try_acquire(settings_.data_dir);
+    }
+    signals_.cancel();
+    io_.restart();
+    io_.poll();
+    io_.restart();
+    if (stopped) return absl::CancelledError("stopped before the start");
+  }
+  if (!lock.ok()) return lock.status();
+  data_lock_ = *std::move(lock);
+  return absl::OkStatus();
+}
+
 absl::Status NodeProgram::open_disk(NodeCore::Disks& disks) {
   if (!settings_.has_disk()) return absl::OkStatus();
   return role_ == NodeRole::kEdge ? open_control_disk(disks) : open_store_disk(disks);
@@ -86,7 +116,10 @@
 
 int NodeProgram::run() {
   NodeCore::Disks disks;
-  if (const absl::Status status = open_disk(disks); !status.ok()) {
+  absl::Status status = lock_data_directory();
+  if (absl::IsCancelled(status)) return 0;
+  if (status.ok()) status = open_disk(disks);
+  if (!status.ok()) {
     NETTLESTAND_WARNING("startup failed error=" << status.message());
     return 1;
   }
--- a/src/node/node_program.h
+++ b/src/node/node_program.h
@@ -18,6 +18,7 @@
 #include "node/node_core.h"
 #include "node/operator_request_handler.h"
 #include "node/settings.h"
+#include "storage/directory_lock.h"
 
 namespace nettlestand::tier {
 
@@ -32,6 +33,9 @@
   int run();
 
  private:
+  // Waits for an earlier process of this node that has not ended yet. A CancelledError if a signal ends this
+  // one meanwhile.
+  absl::Status lock_data_directory();
   absl::Status open_disk(NodeCore::Disks& disks);
   absl::Status open_control_disk(NodeCore::Disks& disks);
   absl::Status open_store_disk(NodeCore::Disks& disks);
@@ -56,6 +60,7 @@
   boost::asio::steady_timer timer_;
   boost::asio::signal_set signals_;
   std::uint64_t random_seed_;
+  std::optional<storage::DirectoryLock> data_lock_;  // released after core_ has stopped writing
   std::unique_ptr<TcpMessenger> messenger_;
   std::unique_ptr<Forwarder> forwarder_;
   std::unique_ptr<NodeCore> core_;
--- a/standins/tier/tier_world.cpp
+++ b/standins/tier/tier_world.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
+#include <utility>
 
 namespace nettlestand::tier::standins {
 namespace {
@@ -59,7 +60,10 @@
 }
 
 TierWorld::~TierWorld() {
-  for (std::size_t i = 0; i < nodes_.size(); ++i) kill(i);
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    kill(i);
+    kill(i);  // a process beside it
+  }
   std::error_code ignored;
   if (!keep_logs_) std::filesystem::remove_all(folder_, ignored);
 }
@@ -112,6 +116,16 @@
   Node& node = nodes_.at(i);
   node.log_start = log(i).size();
   write_settings(node, bootstrap);
+  node.pid = spawn(node);
+}
+
+void TierWorld::start_beside(std::size_t i) {
+  Node& node = nodes_.at(i);
+  node.log_start = log(i).size();
+  node.beside_pid = spawn(node);
+}
+
+int TierWorld::spawn(const Node& node) const {
   const std::string settings = folder_ + "/" + node.name + ".toml", log = folder_ + "/" + node.name + ".log";
   const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   // Prepares everything before the fork: between fork and exec, a child of a process with threads may call
@@ -124,11 +138,11 @@
   sigset_t all, before;
   sigfillset(&all);
   pthread_sigmask(SIG_BLOCK, &all, &before);
-  node.pid = ::fork();
-  if (node.pid != 0) {
+  const int pid = ::fork();
+  if (pid != 0) {
     pthread_sigmask(SIG_SETMASK, &before, nullptr);
     ::close(out);
-    return;
+    return pid;
   }
   drop_signal_handlers();
   pthread_sigmask(SIG_SETMASK, &before, nullptr);
@@ -143,7 +157,7 @@
   if (node.pid <= 0) return;
   ::kill(node.pid, SIGKILL);
   ::waitpid(node.pid, nullptr, 0);
-  node.pid = 0;
+  node.pid = std::exchange(node.beside_pid, 0);
 }
 
 void TierWorld::signal(std::size_t i, int number) { ::kill(nodes_.at(i).pid, number); }
--- a/standins/tier/tier_world.h
+++ b/standins/tier/tier_world.h
@@ -34,6 +34,9 @@
   std::size_t store(std::size_t i) const { return edges() + i; }
   const std::string& name(std::size_t node) const { return nodes_.at(node).name; }
   void start(std::size_t node, bool bootstrap = false);
+  // Starts a second process of the node while the first one runs. It counts as the node's process once the
+  // first one was killed.
+  void start_beside(std::size_t node);
   void kill(std::size_t node);       // SIGKILL
   void terminate(std::size_t node);  // SIGTERM; see exit_code()
   void signal(std::size_t node, int number);
@@ -70,10 +73,11 @@
   struct Node {
     std::string name, ip, role, folder;
     bool has_disk = false;
-    int pid = 0;
+    int pid = 0, beside_pid = 0;
     std::size_t log_start = 0;  // size of its log in bytes at its last start
   };
   std::string ip(std::size_t i) const;
+  int spawn(const Node& node) const;
   void write_settings(const Node& node, bool bootstrap) const;
 
   TierOptions options_;
--- a/tests/system/processes_test.cpp
+++ b/tests/system/processes_test.cpp
@@ -396,6 +396,51 @@
   }
 }
 
+// Guards against: a process that is started before the one before it has ended writes to the same disk, and
+// what the first one writes then is gone or changed after the next start: results, and the configuration.
+TEST_CASE("a process that is started while the one before it still runs does not touch its disk") {
+  TierFixture tier;
+  TierWorld& world = tier.world;
+  const bool stores = GENERATE(true, false);
+  std::vector<std::size_t> with_disk = {0, 1, 2};
+  if (stores) with_disk = {world.store(0), world.store(1), world.store(2)};
+  INFO((stores ? "stores" : "core"));
+  for (std::size_t i = 0; i < 3; ++i) world.engine(i).set_mode(EngineMode::kFull);
+  REQUIRE(world.client(0, "POST", "/jobs/x", client_headers("k1", "job"), job_json(40, "a")).status == 202);
+  for (const std::size_t node : with_disk) world.start_beside(node);
+  for (const std::size_t node : with_disk) {
+    // Either it is held off the disk, or it has opened it and then found its addresses taken.
+    REQUIRE(until(kTimeoutMs, [&] { return world.log(node).find("in use") != std::string::npos; }));
+  }
+  const std::string changed = configuration(4);
+  REQUIRE(world.change_configuration("replace", 2, changed).status == 200);
+  for (std::size_t i = 0; i < 3; ++i) world.engine(i).set_mode(EngineMode::kStream);
+  std::string pages, pages_after;
+  REQUIRE(tier.read_all("job", 40, pages));
+  for (const std::size_t node : with_disk) {
+    world.kill(node);
+    world.kill(node);  // the second process
+  }
+  for (const std::size_t node : with_disk) world.start(node);
+  REQUIRE(tier.all_ready());
+  CHECK(world.control(0, "GET", "/nettlestand/config/read", {{"Host", "x"}}, "").body == changed);
+  REQUIRE(tier.read_all("job", 40, pages_after));
+  CHECK(pages_after == pages);
+}
+
+TEST_CASE("a process that is started too early takes over once the one before it has ended") {
+  TierFixture tier;
+  TierWorld& world = tier.world;
+  for (const std::size_t node : {std::size_t{1}, world.store(0)}) {
+    world.start_beside(node);
+    REQUIRE(until(kTimeoutMs, [&] { return world.log(node).find("in use") != std::string::npos; }));
+    CHECK_FALSE(world.has_started(node));
+    world.kill(node);
+    CHECK(until(kTimeoutMs, [&] { return world.has_started(node); }));
+  }
+  REQUIRE(tier.all_ready());
+}
+
 TEST_CASE(
     "an edge that is told to stop finishes what it has, turns new callers away in time, and exits with 0") {
   TierFixture tier("");
--- a/tests/system/storage_test.cpp
+++ b/tests/system/storage_test.cpp
@@ -11,6 +11,7 @@
 #include "control/replica_host.h"
 #include "messaging/tcp_messenger.h"
 #include "simulate/simulated_disk.h"
+#include "storage/directory_lock.h"
 #include "storage/segment_format.h"
 #include "storage/segment_ring.h"
 #include "temp_directory.h"
@@ -450,3 +451,18 @@
     CHECK(std::equal(synced.begin(), synced.end(), shown.begin()));
   }
 }
+
+// Guards against: two processes of one node write to the same disk.
+TEST_CASE("a data directory has one owner at a time") {
+  TempDirectory folder;
+  const std::string path = folder.path() + "/data";  // created by the lock
+  {
+    auto first = storage::DirectoryLock::try_acquire(path);
+    REQUIRE(first.ok());
+    CHECK(absl::IsUnavailable(storage::DirectoryLock::try_acquire(path).status()));
+    const storage::DirectoryLock moved = *std::move(first);
+    CHECK(absl::IsUnavailable(storage::DirectoryLock::try_acquire(path).status()));
+  }
+  CHECK(storage::DirectoryLock::try_acquire(path).ok());
+  CHECK_FALSE(storage::DirectoryLock::try_acquire(folder.path() + "/no/parent").ok());
+}
