--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -218,47 +218,62 @@
     if (!co_await sink.on_head(head)) co_return release_and_end(CallOutcome::kClientGone);
   }
 
+  const CallOutcome outcome = co_await forward_body(request, *connection, progress, sink);
+  if (outcome != CallOutcome::kCompleted) co_return release_and_end(outcome);
+  progress.completed = true;
+  co_return release_and_end(success ? CallOutcome::kCompleted : CallOutcome::kServerError);
+}
+
+asio::awaitable<CallOutcome> Forwarder::forward_body(const ForwardRequest& request,
+                                                     UpstreamConnection& connection, Progress& progress,
+                                                     ResponseSink& sink) {
+  using Read = UpstreamConnection::Read;
   EventStreamParser events;
   std::string bytes, whole_events;
-  Millis read_deadline = request.deadline;
   for (;;) {
-    if (request.is_item) read_deadline = steady_now() + kItemReadTimeoutMs;
-    if (!request.is_item && progress.is_stream && request.route->resumable && progress.may_retry) {
-      read_deadline = std::min(
-          request.deadline,
-          steady_now() +
-              std::max(kMinGapTimeoutMs, static_cast<Millis>(kGapTimeoutFactor * request.route->gap_aim_ms)));
-    }
-    const Read read = co_await connection->read_some(bytes, std::min(read_deadline, request.deadline));
+    const Read read = co_await connection.read_some(bytes, body_deadline(request, progress));
     if (read == Read::kEnd) break;
     if (read != Read::kOk)
-      co_return release_and_end(read == Read::kTimedOut ? CallOutcome::kTimedOut
-                                                        : CallOutcome::kConnectionLost);
+      co_return read == Read::kTimedOut ? CallOutcome::kTimedOut : CallOutcome::kConnectionLost;
     if (!progress.is_stream) {
-      if (!co_await sink.on_data(bytes)) co_return release_and_end(CallOutcome::kClientGone);
+      if (!co_await sink.on_data(bytes)) co_return CallOutcome::kClientGone;
       continue;
     }
-    bool in_order = true;
-    whole_events.clear();
-    events.feed(bytes, [&](const StreamEvent& event) {
-      if (event.id) {
-        in_order = in_order && (!progress.has_last_event_id || *event.id == progress.last_event_id + 1);
-        if (!in_order) return;
-        progress.last_event_id = *event.id;
-        progress.has_last_event_id = true;
-      }
-      whole_events.append(event.bytes);
-    });
-    if (!whole_events.empty() && !co_await sink.on_data(whole_events))
-      co_return release_and_end(CallOutcome::kClientGone);
-    if (!in_order) co_return release_and_end(CallOutcome::kConnectionLost);
+    const bool in_order = take_whole_events(events, bytes, progress, whole_events);
+    if (!whole_events.empty() && !co_await sink.on_data(whole_events)) co_return CallOutcome::kClientGone;
+    if (!in_order) co_return CallOutcome::kConnectionLost;
   }
   if (progress.is_stream && !events.partial().empty()) {
     // An incomplete last event is part of the server's response too.
-    if (!co_await sink.on_data(events.partial())) co_return release_and_end(CallOutcome::kClientGone);
+    if (!co_await sink.on_data(events.partial())) co_return CallOutcome::kClientGone;
   }
-  progress.completed = true;
-  co_return release_and_end(success ? CallOutcome::kCompleted : CallOutcome::kServerError);
+  co_return CallOutcome::kCompleted;
+}
+
+// Until when the next bytes of a response have to arrive.
+Millis Forwarder::body_deadline(const ForwardRequest& request, const Progress& progress) {
+  if (request.is_item) return std::min(request.deadline, steady_now() + kItemReadTimeoutMs);
+  if (!progress.is_stream || !request.route->resumable || !progress.may_retry) return request.deadline;
+  const auto gap = static_cast<Millis>(kGapTimeoutFactor * request.route->gap_aim_ms);
+  return std::min(request.deadline, steady_now() + std::max(kMinGapTimeoutMs, gap));
+}
+
+// Sets `whole_events` to the events that these bytes complete. False if one is missing or repeated; it and
+// those after it are left out.
+bool Forwarder::take_whole_events(EventStreamParser& events, std::string_view bytes, Progress& progress,
+                                  std::string& whole_events) {
+  bool in_order = true;
+  whole_events.clear();
+  events.feed(bytes, [&](const StreamEvent& event) {
+    if (event.id) {
+      in_order = in_order && (!progress.has_last_event_id || *event.id == progress.last_event_id + 1);
+      if (!in_order) return;
+      progress.last_event_id = *event.id;
+      progress.has_last_event_id = true;
+    }
+    whole_events.append(event.bytes);
+  });
+  return in_order;
 }
 
 }  // namespace nettlestand::tier
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "control/configuration.h"
+#include "forwarding/event_stream.h"
 #include "forwarding/server_pool.h"
 #include "forwarding/upstream.h"
 
@@ -101,6 +102,13 @@
   // Sends the request to one server and passes its response on.
   boost::asio::awaitable<CallOutcome> attempt(ForwardRequest& request, const ChosenServer& server,
                                               Progress& progress, ResponseSink& sink);
+  // Passes the body of a response on. kCompleted if it has arrived whole, whatever its status.
+  static boost::asio::awaitable<CallOutcome> forward_body(const ForwardRequest& request,
+                                                          UpstreamConnection& connection, Progress& progress,
+                                                          ResponseSink& sink);
+  static Millis body_deadline(const ForwardRequest& request, const Progress& progress);
+  static bool take_whole_events(EventStreamParser& events, std::string_view bytes, Progress& progress,
+                                std::string& whole_events);
   TenantAdmission& admission(const std::string& tenant, const std::string& service);
 
   ServerPool pool_;
