Test how an early process ends, and start processes early in the soak

Need: the operating page promises that a process which waits for the data directory ends with 0 on SIGTERM and with 1 when its time is up; no test caused either. TierWorld also lost track of a second process where the first one ended by itself. Now System.processes has both ends, the second process takes the first one's place however that ended, and the soak's unplanned faults start a node's next process before the running one is killed, on nodes with a disk.

--- a/standins/tier/tier_world.cpp
+++ b/standins/tier/tier_world.cpp
@@ -29,6 +29,13 @@
   for (int number = 1; number < NSIG; ++number) ::signal(number, SIG_DFL);
 }
 
+// The exit code of a child process; -1 if a signal ended it.
+int wait_for_exit(int pid) {
+  int status = 0;
+  ::waitpid(pid, &status, 0);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
 }  // namespace
 
 TierWorld::TierWorld(const TierOptions& options) : options_(options) {
@@ -121,6 +128,7 @@
 
 void TierWorld::start_beside(std::size_t i) {
   Node& node = nodes_.at(i);
+  if (node.beside_pid > 0) return;
   node.log_start = log(i).size();
   node.beside_pid = spawn(node);
 }
@@ -172,16 +180,22 @@
   Node& node = nodes_.at(i);
   int status = 0;
   if (node.pid <= 0 || ::waitpid(node.pid, &status, WNOHANG) != node.pid) return std::nullopt;
-  node.pid = 0;
+  node.pid = std::exchange(node.beside_pid, 0);
   return WIFEXITED(status) ? WEXITSTATUS(status) : kSignalBase + WTERMSIG(status);
 }
 
 int TierWorld::exit_code(std::size_t i) {
   Node& node = nodes_.at(i);
-  int status = 0;
-  ::waitpid(node.pid, &status, 0);
-  node.pid = 0;
-  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  return wait_for_exit(std::exchange(node.pid, std::exchange(node.beside_pid, 0)));
+}
+
+int TierWorld::exit_code_beside(std::size_t i) {
+  return wait_for_exit(std::exchange(nodes_.at(i).beside_pid, 0));
+}
+
+int TierWorld::terminate_beside(std::size_t i) {
+  ::kill(nodes_.at(i).beside_pid, SIGTERM);
+  return exit_code_beside(i);
 }
 
 void TierWorld::wipe(std::size_t i) {
--- a/standins/tier/tier_world.h
+++ b/standins/tier/tier_world.h
@@ -32,11 +32,16 @@
   std::size_t nodes() const { return nodes_.size(); }
   std::size_t edges() const { return options_.core + options_.plain_edges; }
   std::size_t store(std::size_t i) const { return edges() + i; }
+  bool has_disk(std::size_t node) const { return nodes_.at(node).has_disk; }
   const std::string& name(std::size_t node) const { return nodes_.at(node).name; }
   void start(std::size_t node, bool bootstrap = false);
   // Starts a second process of the node while the first one runs. It counts as the node's process once the
-  // first one was killed.
+  // first one has ended. No effect while there is a second process.
   void start_beside(std::size_t node);
+  // SIGTERM to that second process, and its exit code.
+  int terminate_beside(std::size_t node);
+  // Waits for the second process to end by itself; its exit code.
+  int exit_code_beside(std::size_t node);
   void kill(std::size_t node);       // SIGKILL
   void terminate(std::size_t node);  // SIGTERM; see exit_code()
   void signal(std::size_t node, int number);
--- a/tests/system/processes_test.cpp
+++ b/tests/system/processes_test.cpp
@@ -441,6 +441,19 @@
   REQUIRE(tier.all_ready());
 }
 
+TEST_CASE("a process that is started too early ends with 0 when told to, with 1 when its time is up") {
+  TierFixture tier("[bounds]\ngrace_s = 1\n");
+  TierWorld& world = tier.world;
+  const std::size_t node = world.store(1);
+  world.start_beside(node);
+  REQUIRE(until(kTimeoutMs, [&] { return world.log(node).find("in use") != std::string::npos; }));
+  CHECK(world.terminate_beside(node) == 0);
+  world.start_beside(node);
+  CHECK(world.exit_code_beside(node) == 1);  // after the grace period and a margin
+  CHECK(world.log(node).find("startup failed") != std::string::npos);
+  CHECK_FALSE(world.ended(node));  // the first process has gone on
+}
+
 TEST_CASE(
     "an edge that is told to stop finishes what it has, turns new callers away in time, and exits with 0") {
   TierFixture tier("");
--- a/tools/soak/fault_injector.cpp
+++ b/tools/soak/fault_injector.cpp
@@ -22,7 +22,7 @@
 constexpr int kCleanExit = 0;
 constexpr int kEndedBySigterm = 128 + SIGTERM;  // terminated by the signal before the program was executed
 constexpr std::uint64_t kPlannedFaultKinds = 5;
-constexpr std::uint64_t kUnplannedFaultKinds = 12;
+constexpr std::uint64_t kUnplannedFaultKinds = 13;
 
 }  // namespace
 
@@ -70,6 +70,17 @@
   schedule_restart(node, now + down);
 }
 
+void FaultInjector::start_too_early(std::size_t node, Millis overlap) {
+  if (!world_.has_disk(node) || !world_.is_running(node) || terminating_.contains(node)) return;
+  const Millis now = steady_now();
+  oracle_.on_node_fault(node, now, now + overlap + kCatchUpMs);
+  ++signals_;
+  world_.start_beside(node);
+  scheduled_recoveries_.emplace(now + overlap, [this, node] {
+    if (world_.is_running(node) && !terminating_.contains(node)) world_.kill(node);
+  });
+}
+
 void FaultInjector::pause(std::size_t node, Millis duration) {
   if (!world_.is_running(node) || terminating_.contains(node)) return;
   const Millis now = steady_now();
@@ -188,8 +199,10 @@
     case 8:
       return set_engine_mode(EngineMode::kRefuseAfterRun, random_duration(800));
     case 9:
-      return replace_server(random_duration(1500));
+      return start_too_early(random_node(), random_duration(900));
     case 10:
+      return replace_server(random_duration(1500));
+    case 11:
       return set_engine_mode(EngineMode::kLoseAnswer, random_duration(300));
     default:
       return set_engine_mode(EngineMode::kCutInEvent, random_duration(500));
--- a/tools/soak/fault_injector.h
+++ b/tools/soak/fault_injector.h
@@ -53,6 +53,8 @@
   void replace_server(Millis lag);
   // All servers refuse half of the requests and send each answer twice.
   void answer_twice(Millis duration);
+  // Starts the next process of a node with a disk before the running one is killed.
+  void start_too_early(std::size_t node, Millis overlap);
   void schedule_restart(std::size_t node, Millis at);
   std::size_t random_node() { return random_below(world_.nodes()); }
   std::uint64_t random_below(std::uint64_t bound) { return random_() % bound; }
