--- a/review/lib-2/harness.cpp
+++ b/review/lib-2/harness.cpp
@@ -28,6 +28,8 @@
 
 const auto kBegin = std::chrono::steady_clock::now();
 std::mutex record_mutex;
+constexpr long kTimeLimitMs = 115000;      // of a case, from its start
+std::atomic<Tier*> running_tier{nullptr};  // its processes and its folder are to go however the case ends
 
 bool same(const std::string& a, const std::string& b) { return ::strcasecmp(a.c_str(), b.c_str()) == 0; }
 
@@ -318,6 +320,11 @@
 
 Tier::Tier(const TierSize& size) : size_(size) {
   ::signal(SIGPIPE, SIG_IGN);
+  const char* limit = std::getenv("LIMIT_MS");
+  std::thread([limit_ms = limit != nullptr ? std::atol(limit) : kTimeLimitMs] {
+    sleep_ms(std::max(limit_ms - now_ms(), 0L));
+    cannot_run("its time is up");
+  }).detach();
   std::ifstream deploy("deploy/system.toml");
   std::string line, role;
   while (std::getline(deploy, line)) {
@@ -359,6 +366,7 @@
     if (node.has_disk) std::filesystem::create_directory(node.folder);
     nodes_.push_back(node);
   }
+  running_tier = this;
   platform_ = std::make_unique<Server>(ip(all) + ":" + std::to_string(server_port_), [this](const Request&) {
     return answer_bytes(200, {{"Content-Type", "application/json"}}, instances());
   });
@@ -377,6 +385,7 @@
 }
 
 Tier::~Tier() {
+  if (running_tier.exchange(nullptr) == nullptr) sleep_ms(kTimeLimitMs);  // another thread ends the program
   for (int i = 0; i < nodes(); ++i) kill(i);
   platform_.reset();
   servers_.clear();
@@ -384,6 +393,17 @@
   if (std::getenv("KEEP") == nullptr) std::filesystem::remove_all(folder_, ignored);
 }
 
+void Tier::abandon() {
+  for (const Node& node : nodes_) {
+    if (node.pid > 0) ::kill(node.pid, SIGKILL);
+  }
+  for (const Node& node : nodes_) {
+    if (node.pid > 0) ::waitpid(node.pid, nullptr, 0);
+  }
+  std::error_code ignored;
+  if (std::getenv("KEEP") == nullptr) std::filesystem::remove_all(folder_, ignored);
+}
+
 std::string Tier::instances() const {
   const std::lock_guard lock(mutex_);
   std::string out = "{\"instances\":[";
@@ -613,7 +633,8 @@
 
 void cannot_run(const std::string& why) {
   note("the case couldn't run: " + why);
-  std::exit(2);
+  if (Tier* tier = running_tier.exchange(nullptr)) tier->abandon();
+  ::_exit(2);
 }
 
 }  // namespace review
--- a/review/lib-2/harness.h
+++ b/review/lib-2/harness.h
@@ -108,6 +108,8 @@
   ~Tier();
   Tier(const Tier&) = delete;
   Tier& operator=(const Tier&) = delete;
+  // Ends all processes and removes the folder, from any thread; for a program that ends at once.
+  void abandon();
 
   // Nodes are numbered: core machines first, the other edges, the stores.
   int edges() const { return size_.core + size_.plain; }
@@ -170,7 +172,7 @@
 
 // Ends the program: 1 if the rule was broken, 0 if it held.
 int verdict(bool broken, const std::string& what);
-// Ends the program at once with 2: the case couldn't run.
+// Ends the program at once with 2: the case couldn't run. Also called when its time is up, after 115 s.
 [[noreturn]] void cannot_run(const std::string& why);
 
 }  // namespace review
