--- a/tests/system/scripted_leader.h
+++ b/tests/system/scripted_leader.h
@@ -45,6 +45,19 @@
     table_.shards = {row};
     answer_poll();
   }
+  // Places all shards on the same members, in a new epoch.
+  void place_all(const std::vector<StoreId>& members) {
+    ++table_.sequence;
+    table_.shards.clear();
+    for (std::uint32_t shard = 0; shard < kBatchShards; ++shard) {
+      ShardPlacement row{};
+      row.shard = shard;
+      row.epoch = table_.sequence;
+      row.members = members;
+      table_.shards.push_back(row);
+    }
+    answer_poll();
+  }
   // Answers a poll that was sent `later` than now, which renews the client's leases.
   void answer_poll(Millis later = 0) {
     PollReply reply{};
