Let a batch job belong to the tenant whose key it came with

Cause: `keyed` in ClientRequestHandler::handle answered two questions at once, whether a key is needed and whose the request is. On a public route it was false, so the job was kept under the empty tenant; a read names no route, was always keyed, and looked under the key's tenant. The same held for jobs from before a configuration had tenants, and a submission sent again across such a change was taken twice, under two owners.

Change: routing/caller decides who a caller is from its key alone, and apart from that whether its route lets it in. A job's owner is the key's tenant. Jobs without an owner (no key on a public route, no tenants) are looked up after the caller's own and are anyone's, as their ids are all that there is to know. A key that no tenant holds gets 401 on a public batch route: it could never read the job. A tenant's job is never looked up for a caller without its key. Live requests to public routes are their key's tenant's too (X-Tenant, quota, learned limit), and what may still be sent is asked of the same functions.

Why it works: the owner at the submission and the first one looked up at a read are the same function of key and tenants; `public` isn't part of it.

--- a/src/node/batch_request_handler.cpp
+++ b/src/node/batch_request_handler.cpp
@@ -23,7 +23,8 @@
 // Memory of a submission besides its body, in bytes for each byte of the body: its items, the call to the
 // store, and the messages in which the call is sent again.
 constexpr std::size_t kSubmissionMemoryFactor = 3;
-constexpr int kServiceUnavailable = 503;
+constexpr int kMethodNotAllowed = 405, kServiceUnavailable = 503;
+constexpr std::uint32_t kNotFound = 404;
 const char* const kNoMemoryRetryAfter = "0.5";  // seconds
 constexpr std::uint32_t kNotPrimary = 0;        // reply status: the store can't answer and has stored nothing
 constexpr std::uint32_t kOutcomeUnknown = 1;    // the store may have stored it; only another one can tell
@@ -129,12 +130,12 @@
   co_await exchange->respond(status, std::move(headers), std::move(body));
 }
 
-asio::awaitable<void> BatchRequestHandler::handle_job_request(std::shared_ptr<HttpExchange> exchange,
-                                                              std::string tenant, bool may_long_poll) {
+asio::awaitable<bool> BatchRequestHandler::handle_job_request(std::shared_ptr<HttpExchange> exchange,
+                                                              std::vector<std::string> owners,
+                                                              bool may_long_poll) {
   const HttpRequest& request = exchange->request;
   const std::string_view path = request.path();
   JobCall call{};
-  call.tenant = std::move(tenant);
   call.job = std::string(path.substr(path.rfind('/') + 1));
   const bool items = path.starts_with("/nettlestand/items/");
   if (request.method == "DELETE" && !items) {
@@ -146,23 +147,43 @@
     if (!items && may_long_poll && long_polls_ < max_long_polls_)
       call.wait_ms = std::min(static_cast<Millis>(parse_number(request.header("X-Wait-Ms"))), kMaxWaitMs);
   } else {
-    co_return co_await exchange->respond(405, kJson, "{}");
+    co_await exchange->respond(kMethodNotAllowed, kJson, "{}");
+    co_return true;
   }
   const Millis timeout = call.kind == JobCallKind::kEnd ? kSubmitTimeoutMs : call.wait_ms + kReadTimeoutMs;
   std::optional<LongPoll> long_poll;
   if (call.wait_ms > 0) long_poll.emplace(long_polls_);
-  const PrimaryReply reply = co_await call_primary(std::move(call), steady_now() + timeout);
+  const PrimaryReply reply = co_await call_owners(std::move(call), std::move(owners), steady_now() + timeout);
   long_poll.reset();
-  if (reply.status != 0) {
-    if (!exchange->reserve_memory(reply.body.size()))
-      co_return co_await refuse_for_memory(std::move(exchange));
-    HeaderList headers = kJson;
-    if (items) headers.front().second = "application/octet-stream";
-    co_return co_await exchange->respond(static_cast<int>(reply.status), headers, reply.body);
-  }
+  if (reply.status == kNotFound) co_return false;
   HeaderList headers = kJson;
-  headers.emplace_back("Retry-After", "0.3");
-  co_await exchange->respond(503, headers, "{}");
+  if (reply.status == 0) {
+    headers.emplace_back("Retry-After", "0.3");
+    co_await exchange->respond(kServiceUnavailable, headers, "{}");
+    co_return true;
+  }
+  if (!exchange->reserve_memory(reply.body.size())) {
+    co_await refuse_for_memory(std::move(exchange));
+    co_return true;
+  }
+  if (items) headers.front().second = "application/octet-stream";
+  co_await exchange->respond(static_cast<int>(reply.status), headers, reply.body);
+  co_return true;
+}
+
+asio::awaitable<BatchRequestHandler::PrimaryReply> BatchRequestHandler::call_owners(
+    JobCall call, std::vector<std::string> owners, Millis deadline) {
+  PrimaryReply reply;
+  for (std::string& owner : owners) {
+    call.tenant = std::move(owner);
+    reply = co_await call_primary(call, deadline);
+    if (reply.status != kNotFound) break;
+  }
+  co_return reply;
+}
+
+asio::awaitable<void> BatchRequestHandler::respond_no_such_job(std::shared_ptr<HttpExchange> exchange) {
+  co_await exchange->respond(static_cast<int>(kNotFound), kJson, "");
 }
 
 }  // namespace nettlestand::tier
--- a/src/node/batch_request_handler.h
+++ b/src/node/batch_request_handler.h
@@ -7,6 +7,7 @@
 #include <limits>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/body_integrity.h"
 #include "control/control_client.h"
@@ -29,10 +30,13 @@
   // Submits the job in the request's body for `tenant`.
   boost::asio::awaitable<void> submit(std::shared_ptr<HttpExchange> exchange, const Route& route,
                                       std::string tenant);
-  // Handles GET and DELETE of /nettlestand/lots/ID and GET of /nettlestand/items/ID. `may_long_poll`: a read
-  // may wait for new results for as long as its client allows.
-  boost::asio::awaitable<void> handle_job_request(std::shared_ptr<HttpExchange> exchange, std::string tenant,
-                                                  bool may_long_poll);
+  // Handles GET and DELETE of /nettlestand/lots/ID and GET of /nettlestand/items/ID. The job is looked up
+  // under each of `owners`, the tenants whose jobs the client may use, until it is found. False, without a
+  // response: none of them has it. `may_long_poll`: a read may wait for new results for as long as its client
+  // allows.
+  boost::asio::awaitable<bool> handle_job_request(std::shared_ptr<HttpExchange> exchange,
+                                                  std::vector<std::string> owners, bool may_long_poll);
+  static boost::asio::awaitable<void> respond_no_such_job(std::shared_ptr<HttpExchange> exchange);
   // With so many reads waiting for results, a further one is answered at once, so that those who wait leave
   // connections to others.
   void set_max_long_polls(std::size_t max_long_polls) { max_long_polls_ = max_long_polls; }
@@ -52,6 +56,9 @@
   };
   // Refuses a call for which the process has no memory left; nothing of it has been done.
   static boost::asio::awaitable<void> refuse_for_memory(std::shared_ptr<HttpExchange> exchange);
+  // Calls the primaries of the owners one after the other, until one of them has the job.
+  boost::asio::awaitable<PrimaryReply> call_owners(JobCall call, std::vector<std::string> owners,
+                                                   Millis deadline);
   // Sends a call to the current primary, again and again, until a store answers or the deadline has passed.
   boost::asio::awaitable<PrimaryReply> call_primary(JobCall call, Millis deadline);
 
--- a/src/node/client_request_handler.cpp
+++ b/src/node/client_request_handler.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <utility>
+#include <vector>
 
 #include "forwarding/request_headers.h"
 #include "node/log.h"
@@ -114,42 +115,47 @@
   const HttpRequest& request = exchange->request;
   if (!co_await has_configuration()) co_return co_await refuse(exchange, RefusalCause::kNoConfiguration);
   const auto configuration = control_client_.configuration();
-  const bool job_call = BatchRequestHandler::is_job_path(request.path());
-  const Route* route = job_call ? nullptr : configuration->find_route(request.host(), request.path());
-  if (!job_call && route == nullptr) co_return co_await refuse(exchange, RefusalCause::kUnknownRoute);
-
-  Caller caller;
-  const bool keyed = !configuration->tenants().empty() && (job_call || !route->is_public);
-  if (keyed) {
-    caller.key = std::string(request.header("X-Api-Key"));
-    caller.tenant_entry = configuration->tenant_by_key(caller.key);
-    if (caller.tenant_entry == nullptr) co_return co_await refuse(exchange, RefusalCause::kUnknownKey);
-    caller.tenant = caller.tenant_entry->name;
-  }
-  if (job_call) {
-    const bool may_long_poll = stop_deadline_ == std::numeric_limits<Millis>::max();
-    co_return co_await batch_.handle_job_request(std::move(exchange), caller.tenant, may_long_poll);
+  if (BatchRequestHandler::is_job_path(request.path())) {
+    co_return co_await handle_job_request(std::move(exchange), *configuration);
   }
+  const Route* route = configuration->find_route(request.host(), request.path());
+  if (route == nullptr) co_return co_await refuse(exchange, RefusalCause::kUnknownRoute);
+  const std::optional<Caller> caller = caller_of_request(*configuration, *route, request.header("X-Api-Key"));
+  if (!caller) co_return co_await refuse(exchange, RefusalCause::kUnknownKey);
+  const std::string tenant = caller->tenant_name();
   if (request.header("X-Request-Id").empty()) {
-    co_return co_await refuse(exchange, RefusalCause::kBadRequest, caller.tenant);
+    co_return co_await refuse(exchange, RefusalCause::kBadRequest, tenant);
   }
   if (route->route_class == RouteClass::kBatch) {
     if (request.received_at + BatchRequestHandler::kMaxCallMs > stop_deadline_) {
-      co_return co_await refuse(exchange, RefusalCause::kStopping, caller.tenant);
+      co_return co_await refuse(exchange, RefusalCause::kStopping, tenant);
     }
-    co_return co_await batch_.submit(std::move(exchange), *route, caller.tenant);
+    co_return co_await batch_.submit(std::move(exchange), *route, tenant);
   }
   if (deadline_of(request, *route) > stop_deadline_) {
-    co_return co_await refuse(exchange, RefusalCause::kStopping, caller.tenant);
+    co_return co_await refuse(exchange, RefusalCause::kStopping, tenant);
   }
   // The request is held a second time while it is sent.
   if (!exchange->reserve_memory(serialized_bytes(request) + kResponseBufferBytes)) {
-    co_return co_await refuse(exchange, RefusalCause::kNoMemory, caller.tenant);
+    co_return co_await refuse(exchange, RefusalCause::kNoMemory, tenant);
   }
-  if (caller.tenant_entry != nullptr && !co_await acquire_quota(*caller.tenant_entry)) {
-    co_return co_await refuse(exchange, RefusalCause::kQuota, caller.tenant);
+  if (caller->tenant != nullptr && !co_await acquire_quota(*caller->tenant)) {
+    co_return co_await refuse(exchange, RefusalCause::kQuota, tenant);
   }
-  co_await forward_request(std::move(exchange), configuration, *route, std::move(caller));
+  co_await forward_request(std::move(exchange), configuration, *route, *caller);
+}
+
+asio::awaitable<void> ClientRequestHandler::handle_job_request(std::shared_ptr<HttpExchange> exchange,
+                                                               const Configuration& configuration) {
+  const auto caller = caller_of_job_request(configuration, exchange->request.header("X-Api-Key"));
+  if (!caller) co_return co_await refuse(exchange, RefusalCause::kUnknownKey);
+  const bool may_long_poll = stop_deadline_ == std::numeric_limits<Millis>::max();
+  std::vector<std::string> owners = accessible_job_owners(*caller);
+  const bool found = co_await batch_.handle_job_request(exchange, std::move(owners), may_long_poll);
+  if (found) co_return;
+  const bool lacks_key = caller->tenant == nullptr && !configuration.tenants().empty();
+  if (lacks_key) co_return co_await refuse(exchange, RefusalCause::kUnknownKey);
+  co_await BatchRequestHandler::respond_no_such_job(exchange);
 }
 
 asio::awaitable<void> ClientRequestHandler::refuse(std::shared_ptr<HttpExchange> exchange, RefusalCause cause,
@@ -194,16 +200,12 @@
 }
 
 SendPermission ClientRequestHandler::current_permission(const std::string& host, const std::string& path,
-                                                        const Caller& caller,
+                                                        const std::string& key, const std::string& tenant,
                                                         const std::string& service) const {
   if (!control_client_.has_config_lease(steady_now())) return SendPermission::kDenied;
   const auto current = control_client_.configuration();
   const Route* route = current->find_route(host, path);
-  if (route == nullptr) return SendPermission::kDenied;
-  if (caller.tenant_entry != nullptr) {
-    const Tenant* key_owner = current->tenant_by_key(caller.key);
-    if (key_owner == nullptr || key_owner->name != caller.tenant) return SendPermission::kDenied;
-  }
+  if (route == nullptr || !may_still_send(*current, *route, key, tenant)) return SendPermission::kDenied;
   const bool has_service =
       std::any_of(route->split.begin(), route->split.end(),
                   [&](const ServiceWeight& part) { return part.service == service && part.weight > 0; });
@@ -219,7 +221,7 @@
   forward.configuration = configuration;
   forward.route = &route;
   forward.service = route.pick_service(random_.unit());
-  forward.tenant = caller.tenant;
+  forward.tenant = caller.tenant_name();
   forward.id = std::string(request.header("X-Request-Id"));
   forward.method = request.method;
   forward.target = request.target;
@@ -232,9 +234,9 @@
   forward.headers = forwarded_headers(request.headers);
   forward.body = std::move(request.body);
   forward.body_digest = request.body_digest;
-  forward.permission = [this, host = request.host(), path = std::string(request.path()), caller,
-                        service = forward.service] {
-    return current_permission(host, path, caller, service);
+  forward.permission = [this, host = request.host(), path = std::string(request.path()), key = caller.key,
+                        tenant = forward.tenant, service = forward.service] {
+    return current_permission(host, path, key, tenant, service);
   };
 
   const auto sink = std::make_shared<ClientResponseSink>(exchange);
@@ -253,7 +255,7 @@
       exchange->abort();
       co_return;
     case ForwardOutcome::kRefused:
-      co_return co_await refuse(exchange, cause_of(result.refusal), caller.tenant);
+      co_return co_await refuse(exchange, cause_of(result.refusal), caller.tenant_name());
     case ForwardOutcome::kFailed:
       co_return co_await exchange->respond(502, {}, "");
     case ForwardOutcome::kTimedOut:
--- a/src/node/client_request_handler.h
+++ b/src/node/client_request_handler.h
@@ -14,6 +14,7 @@
 #include "node/batch_request_handler.h"
 #include "node/http_server.h"
 #include "node/refusal_counters.h"
+#include "routing/caller.h"
 
 namespace nettlestand::tier {
 
@@ -32,23 +33,20 @@
   void set_stop_deadline(Millis deadline) { stop_deadline_ = deadline; }
 
  private:
-  // The client of a request. `tenant` is empty and `tenant_entry` null if the route needs no key.
-  struct Caller {
-    std::string key, tenant;
-    const Tenant* tenant_entry = nullptr;
-  };
   // Whether there is a configuration that is certain to be in force. Waits a short time for one, which is
   // needed after all nodes have started at once.
   boost::asio::awaitable<bool> has_configuration();
   // Takes one request from the tenant's quota. Waits a short time for a grant; false if the quota is used up
   // or no grant arrives in time.
   boost::asio::awaitable<bool> acquire_quota(const Tenant& tenant);
+  boost::asio::awaitable<void> handle_job_request(std::shared_ptr<HttpExchange> exchange,
+                                                  const Configuration& configuration);
   boost::asio::awaitable<void> forward_request(std::shared_ptr<HttpExchange> exchange,
                                                std::shared_ptr<const Configuration> configuration,
                                                const Route& route, Caller caller);
   // Whether the configuration that is in force now still allows this request to go to this service.
-  SendPermission current_permission(const std::string& host, const std::string& path, const Caller& caller,
-                                    const std::string& service) const;
+  SendPermission current_permission(const std::string& host, const std::string& path, const std::string& key,
+                                    const std::string& tenant, const std::string& service) const;
 
   // Answers with the status of the cause, and counts it.
   boost::asio::awaitable<void> refuse(std::shared_ptr<HttpExchange> exchange, RefusalCause cause,
