Tell a cut stream without a length from one that has ended

Cause: UpstreamConnection::Read had one kEnd for three ends, by length, by the last chunk and by the connection. Forwarder::forward_body took each for the end of a whole answer, even with half an event in hand.

Change: kComplete says that the framing shows a whole body, kClosed that the connection of a body of unknown length was closed; every reader has to decide. A stream is whole at kClosed only if its last byte ended an event of this answer; else the call counts as a lost connection: a resumable stream and an item go on at another server behind their last whole event, any other is cut at the client too. An end between two events can't be told from the stream's own. The last event of an answer whose framing shows it whole counts without its blank line; an item's text left it out.

Why it works: what is passed on as complete now rests on what the end proves, not on the fact that no more bytes came.

System.wire's "whole at an orderly end" now asks for kClosed: the connection no longer judges.

--- a/src/batch/item_runner.cpp
+++ b/src/batch/item_runner.cpp
@@ -43,23 +43,26 @@
   }
   asio::awaitable<bool> on_data(std::string_view bytes) override {
     if (!is_stream_) co_return true;
-    parser_.feed(bytes, [this](const StreamEvent& event) {
-      if (!event.id) return;
-      if (partial_text_.has_event) partial_text_.text.push_back('\n');
-      partial_text_.text += EventStreamParser::data_of(event.bytes);
-      partial_text_.has_event = true;
-    });
+    parser_.feed(bytes, [this](const StreamEvent& event) { append(event); });
     co_return true;
   }
   bool is_stream() const { return is_stream_; }
   // The text received so far; nothing if the response was not an event stream.
   std::optional<PartialText> take(std::uint64_t last_event) {
     if (!is_stream_) return std::nullopt;
+    // An event without its blank line is passed on only as the last one of a whole response.
+    parser_.finish([this](const StreamEvent& event) { append(event); });
     partial_text_.last_event = last_event;
     return std::move(partial_text_);
   }
 
  private:
+  void append(const StreamEvent& event) {
+    if (!event.id) return;
+    if (partial_text_.has_event) partial_text_.text.push_back('\n');
+    partial_text_.text += EventStreamParser::data_of(event.bytes);
+    partial_text_.has_event = true;
+  }
   PartialText partial_text_;
   bool is_stream_ = false;
   EventStreamParser parser_;
--- a/src/forwarding/event_stream.h
+++ b/src/forwarding/event_stream.h
@@ -27,12 +27,24 @@
     for (std::size_t end; (end = end_of_event(begin)) != std::string::npos; begin = end) {
       const std::string_view event = std::string_view(buffer_).substr(begin, end - begin);
       on_event(StreamEvent{event, id_of(event)});
+      has_event_ = true;
     }
     buffer_.erase(0, begin);
     scanned_ = 0;
   }
+  // Calls `on_event` for the bytes of an event that no blank line has ended, at the end of a stream that is
+  // known to be whole.
+  template <class Handler>
+  void finish(Handler&& on_event) {
+    if (buffer_.empty()) return;
+    on_event(StreamEvent{buffer_, id_of(buffer_)});
+    reset();
+  }
   // The bytes of the last event as long as it is incomplete.
   const std::string& partial() const { return buffer_; }
+  // Whether the last byte so far ended an event. A stream whose end nothing else shows can be whole only
+  // there: a server that fails cuts it before the first event, within one, or between two.
+  bool is_between_events() const { return has_event_ && buffer_.empty(); }
   void reset() {
     buffer_.clear();
     scanned_ = 0;
@@ -48,6 +60,7 @@
   std::size_t end_of_event(std::size_t begin);
   std::string buffer_;
   std::size_t scanned_ = 0;
+  bool has_event_ = false;
 };
 
 }  // namespace nettlestand::tier
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -232,7 +232,11 @@
   std::string bytes, whole_events;
   for (;;) {
     const Read read = co_await connection.read_some(bytes, body_deadline(request, progress));
-    if (read == Read::kEnd) break;
+    if (read == Read::kComplete) break;
+    if (read == Read::kClosed) {
+      const bool may_be_whole = !progress.is_stream || events.is_between_events();
+      co_return may_be_whole ? CallOutcome::kCompleted : CallOutcome::kConnectionLost;
+    }
     if (read != Read::kOk)
       co_return read == Read::kTimedOut ? CallOutcome::kTimedOut : CallOutcome::kConnectionLost;
     if (!progress.is_stream) {
@@ -243,11 +247,10 @@
     if (!whole_events.empty() && !co_await sink.on_data(whole_events)) co_return CallOutcome::kClientGone;
     if (!in_order) co_return CallOutcome::kConnectionLost;
   }
-  if (progress.is_stream && !events.partial().empty()) {
-    // An incomplete last event is part of the server's response too.
-    if (!co_await sink.on_data(events.partial())) co_return CallOutcome::kClientGone;
-  }
-  co_return CallOutcome::kCompleted;
+  // The last event of a whole response counts without the blank line that ends an event.
+  const bool in_order = take_last_event(events, progress, whole_events);
+  if (!whole_events.empty() && !co_await sink.on_data(whole_events)) co_return CallOutcome::kClientGone;
+  co_return in_order ? CallOutcome::kCompleted : CallOutcome::kConnectionLost;
 }
 
 // Until when the next bytes of a response have to arrive.
@@ -258,6 +261,15 @@
   return std::min(request.deadline, steady_now() + std::max(kMinGapTimeoutMs, gap));
 }
 
+// Counts an event as passed on, if it follows the one before.
+bool Forwarder::take_event(const StreamEvent& event, Progress& progress) {
+  if (!event.id) return true;
+  if (progress.has_last_event_id && *event.id != progress.last_event_id + 1) return false;
+  progress.last_event_id = *event.id;
+  progress.has_last_event_id = true;
+  return true;
+}
+
 // Sets `whole_events` to the events that these bytes complete. False if one is missing or repeated; it and
 // those after it are left out.
 bool Forwarder::take_whole_events(EventStreamParser& events, std::string_view bytes, Progress& progress,
@@ -265,13 +277,19 @@
   bool in_order = true;
   whole_events.clear();
   events.feed(bytes, [&](const StreamEvent& event) {
-    if (event.id) {
-      in_order = in_order && (!progress.has_last_event_id || *event.id == progress.last_event_id + 1);
-      if (!in_order) return;
-      progress.last_event_id = *event.id;
-      progress.has_last_event_id = true;
-    }
-    whole_events.append(event.bytes);
+    in_order = in_order && take_event(event, progress);
+    if (in_order) whole_events.append(event.bytes);
+  });
+  return in_order;
+}
+
+// The same for what is left at the end of a response that is whole.
+bool Forwarder::take_last_event(EventStreamParser& events, Progress& progress, std::string& whole_events) {
+  bool in_order = true;
+  whole_events.clear();
+  events.finish([&](const StreamEvent& event) {
+    in_order = take_event(event, progress);
+    if (in_order) whole_events.append(event.bytes);
   });
   return in_order;
 }
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -48,7 +48,8 @@
   virtual ~ResponseSink() = default;
   // Called once, with the head of the response that is passed on. False ends the request: the client is gone.
   virtual boost::asio::awaitable<bool> on_head(const ResponseHead& head) = 0;
-  // Called with bytes of the body; for an event stream, with complete events. False: the client is gone.
+  // Called with bytes of the body; for an event stream, with complete events, of which the last one of a
+  // whole response may lack its blank line. False: the client is gone.
   virtual boost::asio::awaitable<bool> on_data(std::string_view bytes) = 0;
   // Set by the owner when the client has gone; it then calls `cancel_call`, if set, to end the call in
   // progress.
@@ -107,8 +108,10 @@
                                                           UpstreamConnection& connection, Progress& progress,
                                                           ResponseSink& sink);
   static Millis body_deadline(const ForwardRequest& request, const Progress& progress);
+  static bool take_event(const StreamEvent& event, Progress& progress);
   static bool take_whole_events(EventStreamParser& events, std::string_view bytes, Progress& progress,
                                 std::string& whole_events);
+  static bool take_last_event(EventStreamParser& events, Progress& progress, std::string& whole_events);
   TenantAdmission& admission(const std::string& tenant, const std::string& service);
 
   ServerPool pool_;
--- a/src/forwarding/upstream.cpp
+++ b/src/forwarding/upstream.cpp
@@ -118,7 +118,7 @@
       has_foreign_response_ = true;
       counters_->count(CallEvent::kForeignResponse);
       const Read skipped = co_await skip_body(deadline);
-      if (skipped != Read::kEnd || !parser_->keep_alive()) co_return Read::kBroken;
+      if (skipped != Read::kComplete || !parser_->keep_alive()) co_return Read::kBroken;
     }
     parse_head(head);
     co_return Read::kOk;
@@ -129,8 +129,8 @@
     if (read_error_) co_return read_failure(read_error_);
     while (bytes.empty()) {
       if (parser_->is_done()) {
-        complete_ = true;
-        co_return Read::kEnd;
+        complete_ = !parser_->need_eof();
+        co_return complete_ ? Read::kComplete : Read::kClosed;
       }
       std::array<char, kReadBufferBytes> chunk;
       auto& body = parser_->get().body();
--- a/src/forwarding/upstream.h
+++ b/src/forwarding/upstream.h
@@ -40,7 +40,15 @@
 // One connection to a server, and the call in progress on it.
 class UpstreamConnection {
  public:
-  enum class Read { kOk, kEnd, kBroken, kTimedOut };
+  // How a read ended. A body without a length and without chunks ends with its connection, as a body does
+  // that the server has cut: after kClosed, whether the body is whole is for the caller to decide.
+  enum class Read {
+    kOk,
+    kComplete,  // no more bytes: by its length or its last chunk, the body is whole
+    kClosed,    // no more bytes: the server has closed the connection of a body of unknown length
+    kBroken,    // the connection failed, or what came is no response
+    kTimedOut
+  };
 
   virtual ~UpstreamConnection() = default;
   // Sends a request. False if sending failed or the body does not match its digest. Sets `sent` if any byte
@@ -48,7 +56,7 @@
   virtual boost::asio::awaitable<bool> send(OutgoingRequest request, Millis deadline, bool& sent) = 0;
   // Reads the head of the response. Responses that carry the id of another request are skipped.
   virtual boost::asio::awaitable<Read> read_head(ResponseHead& head, Millis deadline) = 0;
-  // Reads more of the body; kEnd after the last byte of a complete body.
+  // Reads more of the body. kComplete or kClosed after its last byte.
   virtual boost::asio::awaitable<Read> read_some(std::string& bytes, Millis deadline) = 0;
   // Closes the connection, so that pending operations on it fail.
   virtual void cancel() = 0;
--- a/tests/system/item_test.cpp
+++ b/tests/system/item_test.cpp
@@ -36,6 +36,12 @@
   std::string id, head, body;
 };
 
+const std::string kOneEvent = "id: 1\ndata: done\n\n";
+const std::string kTwoEvents = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+
+// How an answer's body ends.
+enum class BodyEnd { kLength, kConnection };
+
 // Accepts items and answers each with one event, or rejects them.
 class ItemServer {
  public:
@@ -45,6 +51,11 @@
   void set_full(bool full) { full_ = full; }
   // The first request fails, and the failure is sent a second time before the next answer on its connection.
   void set_fails_first(bool fails) { fails_first_ = fails; }
+  // The first answer has this body; after it, items get the second of two events.
+  void set_first_answer(const std::string& body, BodyEnd end) {
+    first_body_ = body;
+    first_end_ = end;
+  }
   std::string address() const { return server_.address(); }
   std::vector<ReceivedRequest> received() const {
     const std::lock_guard lock(mutex_);
@@ -71,16 +82,27 @@
       return true;
     }
     if (fails_first_ && fd == failed_on_) send_all(fd, failure);
-    const std::string event = "id: 1\ndata: done\n\n";
-    send_all(fd, "HTTP/1.1 200 OK\r\n" + named + "Content-Type: text/event-stream\r\nContent-Length: " +
-                     std::to_string(event.size()) + "\r\n\r\n" + event);
+    const std::string stream = "HTTP/1.1 200 OK\r\n" + named + "Content-Type: text/event-stream\r\n";
+    if (first_body_ && number == 1 && first_end_ == BodyEnd::kConnection) {
+      send_all(fd, stream + "\r\n" + *first_body_);
+      return false;
+    }
+    std::string body = kOneEvent;
+    if (first_body_) body = number == 1 ? *first_body_ : rest_of_two_events(request);
+    send_all(fd, stream + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     return true;
   }
+  static std::string rest_of_two_events(const std::string& request) {
+    const bool has_first = request.find("Last-Event-Id: 1\r\n") != std::string::npos;
+    return has_first ? kTwoEvents.substr(kTwoEvents.find("id: 2")) : kTwoEvents;
+  }
 
   mutable std::mutex mutex_;
   std::vector<ReceivedRequest> received_;
   std::atomic<bool> full_{false}, fails_first_{false};
   std::atomic<int> failed_on_{-1};  // socket
+  std::optional<std::string> first_body_;
+  BodyEnd first_end_ = BodyEnd::kLength;
   ScriptedServer server_;
 };
 
@@ -469,6 +491,48 @@
   CHECK(asked[1].number < MessageNumber{3, 5, 1});
 }
 
+// ---------------------------------------------------------------- ends of answers
+
+// Guards against: an answer without a length that a server cuts within an event becomes a completed item with
+// a part of its text.
+TEST_CASE("an item whose answer has no length and ends within an event is resumed, not completed") {
+  const std::size_t first_event = kTwoEvents.find("id: 2");
+  for (std::size_t sent = 0; sent <= kTwoEvents.size(); ++sent) {
+    if (sent == first_event) continue;  // an end between two events can't be told from the stream's own end
+    INFO("cut at byte " << sent << " of " << kTwoEvents.size());
+    ItemServer server;
+    server.set_first_answer(kTwoEvents.substr(0, sent), BodyEnd::kConnection);
+    Store store(server);
+    store.answer_as_replica();
+    store.submit(job_of("j", 1));
+    store.settle();
+    store.answer_as_replica();
+    clock_shift += kAfterErrorRetryDelayMs;
+    store.tick();
+    store.settle();
+    store.answer_as_replica();
+    const std::string results = store.read("j");
+    CHECK(results.find("\"state\":\"completed\",\"text\":\"one\\ntwo\"") != std::string::npos);
+    const bool was_whole = sent == kTwoEvents.size();
+    REQUIRE(server.received().size() == (was_whole ? 1 : 2));
+    if (was_whole) continue;
+    const bool resumed = server.received()[1].head.find("Last-Event-Id: 1\r\n") != std::string::npos;
+    CHECK(resumed == (sent > first_event));
+  }
+}
+
+// Guards against: the text of an item lacks the last event of a whole answer.
+TEST_CASE("an item's last event counts without a blank line if the answer's length shows that it is whole") {
+  ItemServer server;
+  server.set_first_answer(kTwoEvents.substr(0, kTwoEvents.size() - 1), BodyEnd::kLength);
+  Store store(server);
+  store.answer_as_replica();
+  store.submit(job_of("j", 1));
+  store.settle();
+  store.answer_as_replica();
+  CHECK(store.read("j").find("\"state\":\"completed\",\"text\":\"one\\ntwo\"") != std::string::npos);
+}
+
 // ---------------------------------------------------------------- bodies corrupted on their way
 
 TEST_CASE(
--- a/tests/system/traffic_world.cpp
+++ b/tests/system/traffic_world.cpp
@@ -85,6 +85,8 @@
   kFails,
   kClosesInBody,
   kHangsInBody,
+  kClosesWithoutLength,  // in the body, which has no length; of a stream within an event or before the first
+                         // one
   kAnswers
 };
 
@@ -114,7 +116,11 @@
     if (!is_rejected && behaviour_ != Behaviour::kFails) {
       body_ = is_stream_ ? expected_events(id_, from)
                          : "answer to " + id_ + " " + std::to_string(world_.random_below(1000));
-      if (behaviour_ == Behaviour::kAnswers) world_.sent_request(id_).response_bodies.insert(body_);
+      end_of_unframed_ = is_stream_ ? cut_within_event() : body_.size();
+      const bool is_whole =
+          behaviour_ == Behaviour::kAnswers ||
+          (behaviour_ == Behaviour::kClosesWithoutLength && end_of_unframed_ == body_.size());
+      if (is_whole) world_.sent_request(id_).response_bodies.insert(body_);
     }
     co_return behaviour_ != Behaviour::kClosesAfterRequest;
   }
@@ -137,16 +143,18 @@
     bytes.clear();
     co_await world_.yield_randomly();
     if (cancelled_) co_return Read::kBroken;
+    if (behaviour_ == Behaviour::kClosesWithoutLength && read_ == end_of_unframed_) co_return Read::kClosed;
     if (read_ == body_.size()) {
       complete_ = true;
-      co_return Read::kEnd;
+      co_return Read::kComplete;
     }
     const bool stops = behaviour_ == Behaviour::kClosesInBody || behaviour_ == Behaviour::kHangsInBody;
     if (stops && world_.chance(40)) {
       co_return behaviour_ == Behaviour::kClosesInBody ? Read::kBroken : Read::kTimedOut;
     }
     // A server that stops midway never sends the last byte.
-    const std::size_t left = body_.size() - read_ - (stops ? 1 : 0);
+    std::size_t left = body_.size() - read_ - (stops ? 1 : 0);
+    if (behaviour_ == Behaviour::kClosesWithoutLength) left = end_of_unframed_ - read_;
     if (left == 0) co_return Read::kBroken;
     bytes = body_.substr(read_, 1 + world_.random_below(left));
     read_ += bytes.size();
@@ -157,10 +165,19 @@
   bool is_reusable() const override { return complete_; }
 
  private:
+  // A random place in the stream that doesn't lie between two events.
+  std::size_t cut_within_event() {
+    for (;;) {
+      const std::size_t at = world_.random_below(body_.size() + 1);
+      const bool is_between = at >= 2 && at < body_.size() && body_.compare(at - 2, 2, "\n\n") == 0;
+      if (!is_between) return at;
+    }
+  }
+
   World& world_;
   Behaviour behaviour_;
   std::string id_, body_;
-  std::size_t read_ = 0;
+  std::size_t read_ = 0, end_of_unframed_ = 0;
   bool is_stream_ = false, complete_ = false, cancelled_ = false;
 };
 
--- a/tests/system/wire_test.cpp
+++ b/tests/system/wire_test.cpp
@@ -163,7 +163,7 @@
     };
   };
   ScriptedServer orderly(serve(false)), broken(serve(true));
-  CHECK(make_calls(orderly, {"a"})[0].end == Read::kEnd);
+  CHECK(make_calls(orderly, {"a"})[0].end == Read::kClosed);
   const CallResult got = make_calls(broken, {"a"})[0];
   CHECK((got.head != Read::kOk || got.end == Read::kBroken));
 }
@@ -304,7 +304,7 @@
         },
         asio::detached);
     io.run();
-    CHECK(ends == std::vector<Read>(ids.size(), Read::kEnd));
+    CHECK(ends == std::vector<Read>(ids.size(), Read::kComplete));
   }
   const std::vector<std::string> bytes = server.bytes();
   CHECK(bytes.size() == 1);  // the connection was reused
@@ -331,8 +331,8 @@
         },
         asio::detached);
     io.run();
-    CHECK(first != Read::kEnd);
-    CHECK(second == Read::kEnd);
+    CHECK(first != Read::kComplete);
+    CHECK(second == Read::kComplete);
   }
   const std::vector<std::string> bytes = server.bytes();
   CHECK(bytes.size() == 2);
