Ask for keys also when the last tenant has been removed

Cause: "this configuration asks for no keys" was told from an empty list of tenants, which is also what removals leave.

Change: Configuration::requires_keys() tells whether `tenants` was given; an empty list asks for keys that nobody has. All decisions on access (routing/caller) ask it, also for what may still be sent. The same trap beside it: an update that adds an empty list to a configuration without it adds nothing, else it would lock all clients out; an empty key is nobody's, so a request without one can't be taken for a tenant's.

Why it works: access rests on what the operator wrote, no longer on a count that reaches 0 for two reasons.

--- a/src/control/configuration.cpp
+++ b/src/control/configuration.cpp
@@ -88,6 +88,7 @@
             for_each_object(document, "tenants", [this](const Json& j) { return parse_tenant(j); });
         !s.ok())
       return s;
+    out_.requires_keys_ = member(document, "tenants") != nullptr;
     if (const Json* limits = member(document, "limits")) return this->parse_limits(*limits);
     return absl::OkStatus();
   }
@@ -270,6 +271,7 @@
 }
 
 const Tenant* Configuration::tenant_by_key(std::string_view key) const {
+  if (key.empty()) return nullptr;
   const auto found = tenant_by_key_.find(std::string(key));
   return found == tenant_by_key_.end() ? nullptr : &tenants_[found->second];
 }
--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -74,7 +74,7 @@
   // The route of the host with the longest matching path prefix; null if none matches.
   const Route* find_route(std::string_view host, std::string_view path) const;
   const Route* route_named(std::string_view name) const;
-  // Null for an unknown key.
+  // Null for an unknown key, and for an empty one.
   const Tenant* tenant_by_key(std::string_view key) const;
   const Tenant* tenant_named(std::string_view name) const;
   const Service* service_named(std::string_view name) const;
@@ -84,6 +84,9 @@
   const std::vector<Service>& services() const { return services_; }
   const std::vector<Tenant>& tenants() const { return tenants_; }
   const ClientLimits& limits() const { return limits_; }
+  // Whether clients need a tenant's key where a route is not public. An empty list of tenants, such as
+  // removals leave, asks for keys that nobody has; a configuration without the list asks for none.
+  bool requires_keys() const { return requires_keys_; }
 
  private:
   friend class ConfigurationParser;
@@ -93,6 +96,7 @@
   std::vector<Route> routes_;
   std::vector<Service> services_;
   std::vector<Tenant> tenants_;
+  bool requires_keys_ = false;
   ClientLimits limits_;
   std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host_;  // longest prefix first
   std::unordered_map<std::string, std::size_t> tenant_by_key_;
--- a/src/control/state.cpp
+++ b/src/control/state.cpp
@@ -77,6 +77,8 @@
   for (const auto& list : lists.GetObject()) {
     auto target = document.FindMember(list.name);
     if (target == document.MemberEnd()) {
+      // An empty list is not an absent one: what adds nothing must not make one of the other.
+      if (list.value.IsArray() && list.value.Empty()) continue;
       document.AddMember(Json(list.name, allocator), Json(list.value, allocator), allocator);
       continue;
     }
--- a/src/node/client_request_handler.cpp
+++ b/src/node/client_request_handler.cpp
@@ -153,7 +153,7 @@
   std::vector<std::string> owners = accessible_job_owners(*caller);
   const bool found = co_await batch_.handle_job_request(exchange, std::move(owners), may_long_poll);
   if (found) co_return;
-  const bool lacks_key = caller->tenant == nullptr && !configuration.tenants().empty();
+  const bool lacks_key = caller->tenant == nullptr && configuration.requires_keys();
   if (lacks_key) co_return co_await refuse(exchange, RefusalCause::kUnknownKey);
   co_await BatchRequestHandler::respond_no_such_job(exchange);
 }
--- a/src/routing/caller.cpp
+++ b/src/routing/caller.cpp
@@ -12,7 +12,7 @@
 std::optional<Caller> caller_of_request(const Configuration& configuration, const Route& route,
                                         std::string_view key) {
   Caller caller = identify(configuration, key);
-  if (caller.tenant != nullptr || configuration.tenants().empty()) return caller;
+  if (caller.tenant != nullptr || !configuration.requires_keys()) return caller;
   const bool owns_job = route.route_class == RouteClass::kBatch;
   if (!route.is_public || (owns_job && !key.empty())) return std::nullopt;
   return caller;
@@ -20,7 +20,7 @@
 
 std::optional<Caller> caller_of_job_request(const Configuration& configuration, std::string_view key) {
   Caller caller = identify(configuration, key);
-  const bool is_known = caller.tenant != nullptr || key.empty() || configuration.tenants().empty();
+  const bool is_known = caller.tenant != nullptr || key.empty() || !configuration.requires_keys();
   if (!is_known) return std::nullopt;
   return caller;
 }
--- a/tests/system/job_owner_test.cpp
+++ b/tests/system/job_owner_test.cpp
@@ -15,7 +15,7 @@
 const std::string kTenants =
     ",\"tenants\":[{\"name\":\"desk\",\"api_keys\":[\"k-desk\",\"k-desk-2\"]},"
     "{\"name\":\"hall\",\"api_keys\":[\"k-hall\"]}]";
-const std::string kNoTenants;
+const std::string kNoTenants, kEmptyTenants = ",\"tenants\":[]";
 const std::string kAnonymous;  // the owner of a job that came without a key
 
 enum class Access : bool { kKeyed, kPublic };
@@ -118,12 +118,15 @@
 
 // Guards against: a tenant's job is shown to a caller without a key.
 TEST_CASE("a tenant's job stays its own when no tenants are configured any more, and is there again after") {
+  const bool last_was_removed = GENERATE(false, true);  // false: the configuration has no `tenants`
+  INFO("last tenant removed " << last_was_removed);
   EdgeNode node({});
   node.configure(1, configuration(1, Access::kKeyed, kTenants));
   REQUIRE(submit(node, "k-desk", "j") == kAccepted);
-  node.configure(2, configuration(2, Access::kKeyed, kNoTenants));
-  CHECK(read(node, "", "j") == kNotFound);
-  CHECK(read(node, "k-desk", "j") == kNotFound);
+  node.configure(2, configuration(2, Access::kKeyed, last_was_removed ? kEmptyTenants : kNoTenants));
+  const int refused = last_was_removed ? kUnauthorized : kNotFound;
+  CHECK(read(node, "", "j") == refused);
+  CHECK(read(node, "k-desk", "j") == refused);
   node.configure(3, configuration(3, Access::kKeyed, kTenants));
   CHECK(read(node, "k-desk", "j") == kOk);
   CHECK(read(node, "k-hall", "j") == kNotFound);
