--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -95,6 +95,7 @@
     if (!unfinished.empty()) oracle.report_violation("LOST: a job does not finish: " + unfinished.front().id);
   }
   const std::vector<standins::ReceivedRequest> runs = recorded_runs(world);
+  config_operator.check_without_tenants();
   oracle.check(runs);
   report.violations = oracle.violations();
   report.violation_counts = oracle.violation_counts();
