Give the store of System.item a simulated disk

Some minutes before, a probe of 25 s found one fdatasync of 12.8 s.

Change: the test's store writes to SimulatedDisk, as System.traffic's does. No check has changed.

--- a/tests/system/item_test.cpp
+++ b/tests/system/item_test.cpp
@@ -13,7 +13,7 @@
 #include "recording_messenger.h"
 #include "scripted_leader.h"
 #include "scripted_server.h"
-#include "temp_directory.h"
+#include "simulate/simulated_disk.h"
 
 using namespace nettlestand::tier;
 namespace asio = boost::asio;
@@ -273,7 +273,10 @@
   }
   StoreDisk open_disk() {
     JobJournal::Options options;
-    options.directory = folder_.path();
+    options.directory = "/data";
+    options.disk_mb = 8;
+    options.segment_bytes = 256U << 10;
+    options.files = &files_;
     StoreDisk disk;
     disk.table = std::make_unique<JobTable>();
     table_of_jobs_ = disk.table.get();
@@ -291,7 +294,7 @@
     return JobReply{};
   }
 
-  TempDirectory folder_;
+  simulate::SimulatedDisk files_{1};  // a real disk may stand still for longer than the store's lease
   asio::io_context io_;
   RecordingMessenger messenger_;
   PartialView view_;
