Judge calls around a kill by when it was sent and who listened

Cause: the checker excuses a call that a killed node held, within 30 ms of the recorded death. That is the time at which the world noticed it, which may be late on a busy machine, as may the relays be in noticing that a node listens no more: until then they accept calls for it that no process can get.

Change: a lifetime also has when SIGKILL was sent and when the process listened. A call is excused if it was held between the kill and its notice, or if it was last sent after the kill and before the next process of that node listened. The 30 ms stay as they are; a call that the next process can get is owed an answer as before.

--- a/standins/checker/checker.cpp
+++ b/standins/checker/checker.cpp
@@ -91,6 +91,20 @@
 
   // ------------------------------------------------------------ no request is lost
 
+  // Whether the call was last sent after the end of this process and before the next one of its node
+  // listened. A relay that has yet to notice the end accepts such a call, but no process can get it.
+  bool was_sent_to_no_process(const CallRecord& call, const ProcessLifetime& lifetime,
+                              double died_from) const {
+    const ProcessLifetime* next = nullptr;
+    for (const ProcessLifetime& other : e_.lifetimes) {
+      const bool follows = other.node == lifetime.node && other.started_at > lifetime.started_at;
+      if (follows && (next == nullptr || other.started_at < next->started_at)) next = &other;
+    }
+    if (next == nullptr || next->listening_at == 0) return false;
+    const double sent = std::max(call.sent_at, call.resent_at);
+    return sent >= died_from && sent < next->listening_at;
+  }
+
   // Whether the loss is excused because the node was ended while it held this request.
   bool forgiven(const CallRecord& call) const {
     return std::any_of(e_.lifetimes.begin(), e_.lifetimes.end(), [&](const ProcessLifetime& lifetime) {
@@ -100,8 +114,10 @@
       const bool killed = lifetime.killed && s_.forgive_killed && in_time;
       if (!killed && !(s_.forgive_terminated && lifetime.sigterm_at > 0)) return false;
       const double sent = std::max(call.sent_at, call.resent_at);
-      return call.sent_at <= lifetime.ended_at + s_.order_slack && sent >= lifetime.started_at &&
-             call.answered_at >= lifetime.ended_at - s_.order_slack;
+      const double died_from = lifetime.killed_at > 0 ? lifetime.killed_at : lifetime.ended_at;
+      const bool was_held = call.sent_at <= lifetime.ended_at + s_.order_slack &&
+                            sent >= lifetime.started_at && call.answered_at >= died_from - s_.order_slack;
+      return was_held || was_sent_to_no_process(call, lifetime, died_from);
     });
   }
 
--- a/standins/common/records.h
+++ b/standins/common/records.h
@@ -92,9 +92,11 @@
 struct ProcessLifetime {
   std::string node;
   double started_at = 0;
-  double sigterm_at = 0;  // when it was sent SIGTERM
-  double ended_at = 0;    // when it exited or was killed
-  bool killed = false;    // by SIGKILL
+  double listening_at = 0;  // when it listened for requests; 0: it never did
+  double sigterm_at = 0;    // when it was sent SIGTERM
+  double killed_at = 0;     // when it was sent SIGKILL: it died between this time and `ended_at`
+  double ended_at = 0;      // when its end was noticed
+  bool killed = false;      // by SIGKILL
 };
 
 }  // namespace nettlestand::standins
--- a/standins/world/node_process.cpp
+++ b/standins/world/node_process.cpp
@@ -168,6 +168,7 @@
   if (waitpid(child_, &status_, wait ? 0 : WNOHANG) != child_) return false;
   child_ = -1;
   lifetime_.ended_at = now();
+  lifetime_.listening_at = logged_listening_at();
   lifetime_.killed = WIFSIGNALED(status_) && WTERMSIG(status_) == SIGKILL;
   return true;
 }
@@ -179,6 +180,17 @@
   return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
 }
 
+double NodeProcess::logged_listening_at() const {
+  constexpr std::string_view kTime = "\"mono\":";
+  std::istringstream lines(log());
+  for (std::string line; std::getline(lines, line);) {
+    if (line.find(kListeningText) == std::string::npos) continue;
+    const std::size_t at = line.find(kTime);
+    if (at != std::string::npos) return std::strtod(line.c_str() + at + kTime.size(), nullptr);
+  }
+  return 0;
+}
+
 int NodeProcess::port() {
   for (const double from = now(); port_ == 0;) {
     const std::string text = log();
@@ -222,8 +234,9 @@
 void NodeProcess::signal(int which) {
   if (child_ <= 0) return;
   if (which == SIGTERM && lifetime_.sigterm_at == 0) lifetime_.sigterm_at = now();
+  if (which == SIGKILL) lifetime_.killed_at = now();
   kill(child_, which);
-  if (which == SIGKILL) reap(true);  // so that the time of its end is exact
+  if (which == SIGKILL) reap(true);  // so that its end is noticed at once
 }
 
 void NodeProcess::pause() {
--- a/standins/world/node_process.h
+++ b/standins/world/node_process.h
@@ -108,6 +108,8 @@
 
  private:
   bool reap(bool wait);
+  // When the process logged that it listens for requests; 0 if it did not.
+  double logged_listening_at() const;
 
   std::string binary_, config_path_, operator_file_path_, log_path_, ip_;
   pid_t child_ = -1;
--- a/tests/faults/checker_test.cpp
+++ b/tests/faults/checker_test.cpp
@@ -259,6 +259,27 @@
       << "effects are not";
 }
 
+// Guards against: a call that is lost around a kill counts as a fault of the node where the kill was noticed
+// late, or where a relay accepted the call for a node that was not there any more.
+TEST(CheckerLost, AKillThatIsNoticedLateIsOneOfItsTime) {
+  const auto killed = [](double sent_kill, double noticed, double next_listening) {
+    RequestCase s;
+    s.ended(CallEnd::kClosed, 0.1).ended_node(noticed, true);
+    s.e.lifetimes.back().killed_at = kStart + sent_kill;
+    if (next_listening == 0) return s.broken();
+    s.ended_node(0, false);
+    s.e.lifetimes.back().started_at = kStart + next_listening - 0.05;
+    s.e.lifetimes.back().listening_at = kStart + next_listening;
+    s.e.lifetimes.back().ended_at = 0;
+    return s.broken();
+  };
+  EXPECT_EQ(killed(0.05, 0.4, 0), kNoViolation) << "it died before its end was noticed";
+  EXPECT_EQ(killed(0.2, 0.4, 0), kLost) << "it was killed after the call was lost";
+  EXPECT_EQ(killed(-0.2, -0.1, 0), kLost) << "nothing tells that no process was there";
+  EXPECT_EQ(killed(-0.2, -0.1, 0.3), kNoViolation) << "sent when no process was there";
+  EXPECT_EQ(killed(-0.2, -0.1, -0.01), kLost) << "sent to the next process";
+}
+
 TEST(CheckerLost, ANodeThatIsToldToEndAnswersFirst) {
   RequestCase s;
   s.ended(CallEnd::kClosed, 0.5).ended_node(0.5, false, 0.2);
