Run an item only where its host and path lead to its job's route

Cause: the store keeps the name of a job's route and looked the route up by that name alone, for limits, capacity, the request and the permission at each send. A name is no permission: host and path are.

Change: batch/item_route tells the batch route to which the configuration leads an item, if it is that of its job. The edge refuses a job with an item elsewhere (400), the store such a job (503: the edge's configuration may be newer), the schedule starts no such item and dead-letters it, the permission denies each send. A job younger than a lease on a configuration waits, as the configuration under which it was accepted may be yet to come: a store that was behind dead-lettered the items of a new route, or sent them by the old one.

--- a/bench/item_schedule.cpp
+++ b/bench/item_schedule.cpp
@@ -28,6 +28,7 @@
     out.state = ItemLimits::RouteState::kPresent;
     return out;
   }
+  bool is_routed(const Job&, std::uint32_t) const override { return true; }
   bool can_start() const override { return true; }
   bool has_capacity(Millis, const std::string&) override { return has_free_capacity; }
   void start(Millis, const ItemRun&) override {}
--- a/src/batch/item_runner.cpp
+++ b/src/batch/item_runner.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/digest.h"
+#include "batch/item_route.h"
 #include "forwarding/event_stream.h"
 #include "forwarding/request_headers.h"
 #include "node/log.h"
@@ -96,6 +97,8 @@
   ItemLimits out;
   if (!control_client_.configuration() || !control_client_.has_config_lease(now)) return out;
   const Route* route = route_named(name);
+  out.generation = control_client_.configuration()->generation();
+  out.max_config_age_ms = control_client_.config_lease_ms();
   out.state = route == nullptr ? ItemLimits::RouteState::kRemoved : ItemLimits::RouteState::kPresent;
   if (route == nullptr) return out;
   out.max_wait_s = route->max_wait_s;
@@ -103,6 +106,11 @@
   return out;
 }
 
+bool ItemRunner::is_routed(const Job& job, std::uint32_t item) const {
+  const auto configuration = control_client_.configuration();
+  return configuration && route_of_item(*configuration, job.spec, job.spec.items[item]) != nullptr;
+}
+
 bool ItemRunner::can_start() const { return sinks_.size() < kMaxConcurrentItems && hooks_.has_memory(); }
 
 // Items that were started but not yet handed to the forwarder occupy capacity too.
@@ -119,7 +127,7 @@
   const JobItem& item = job.spec.items[run.item];
   ForwardRequest out;
   out.configuration = control_client_.configuration();
-  out.route = out.configuration->route_named(job.spec.route);
+  out.route = route_of_item(*out.configuration, job.spec, item);
   out.service =
       out.route->pick_service(static_cast<double>(run.item % kServiceSplitSteps) / kServiceSplitSteps);
   out.tenant = run.key.tenant;
@@ -149,8 +157,8 @@
                                         << " reason=" << name_of(run.reason) << " epoch=" << tenure.epoch
                                         << " tenure=" << tenure.number);
   ForwardRequest request = request_for(now, run, job);
-  request.permission = [this, id = run.id, key = run.key, service = request.service] {
-    return may_send(id, key, service) ? SendPermission::kRepeatable : SendPermission::kDenied;
+  request.permission = [this, id = run.id, key = run.key, item = run.item, service = request.service] {
+    return may_send(id, key, item, service) ? SendPermission::kRepeatable : SendPermission::kDenied;
   };
   auto sink = std::make_shared<TextSink>(run.partial_text);
   sinks_.emplace(run.id, sink);
@@ -165,11 +173,12 @@
                       << name_of(reason) << " epoch=" << tenure.epoch << " tenure=" << tenure.number);
 }
 
-bool ItemRunner::may_send(RunId run, const JobKey& key, const std::string& service) {
+bool ItemRunner::may_send(RunId run, const JobKey& key, std::uint32_t item, const std::string& service) {
   const Millis now = steady_now();
   if (!schedule_.may_send(run) || !control_client_.has_config_lease(now) || !hooks_.may_run(now, key))
     return false;
-  const Route* route = route_named(table_.find(key)->spec.route);
+  const JobSpec& job = table_.find(key)->spec;
+  const Route* route = route_of_item(*control_client_.configuration(), job, job.items[item]);
   return route != nullptr &&
          std::any_of(route->split.begin(), route->split.end(),
                      [&](const ServiceWeight& part) { return part.service == service && part.weight > 0; });
--- a/src/batch/item_runner.h
+++ b/src/batch/item_runner.h
@@ -32,6 +32,7 @@
 
   bool may_run(Millis now, const JobKey& key) override { return hooks_.may_run(now, key); }
   ItemLimits limits_for(Millis now, const std::string& route) override;
+  bool is_routed(const Job& job, std::uint32_t item) const override;
   bool can_start() const override;
   bool has_capacity(Millis now, const std::string& route) override;
   void start(Millis now, const ItemRun& run) override;
@@ -42,7 +43,7 @@
   // The route of that name in the current configuration, or null.
   const Route* route_named(const std::string& name) const;
   ForwardRequest request_for(Millis now, const ItemRun& run, const Job& job) const;
-  bool may_send(RunId run, const JobKey& key, const std::string& service);
+  bool may_send(RunId run, const JobKey& key, std::uint32_t item, const std::string& service);
   boost::asio::awaitable<void> send(ItemRun run, ForwardRequest request, std::shared_ptr<TextSink> sink);
 
   boost::asio::io_context& io_;
--- a/src/batch/item_schedule.cpp
+++ b/src/batch/item_schedule.cpp
@@ -75,7 +75,7 @@
   round.now = now;
   if (now >= next_overdue_check_) {
     next_overdue_check_ = now + kOverdueCheckIntervalMs;
-    dead_letter_overdue(round);
+    dead_letter_items(round);
   }
   start_round_robin(round);
 }
@@ -94,29 +94,46 @@
   return false;
 }
 
-void ItemSchedule::dead_letter_overdue(SchedulingRound& round) {
+// Whether the configuration has the route under which an item was accepted. The path of an item whose content
+// is damaged says nothing.
+ItemSchedule::ItemRoute ItemSchedule::route_of(Millis now, const Job& job, const ItemLimits& limits,
+                                               std::uint32_t item) const {
+  const bool is_removed = limits.state == ItemLimits::RouteState::kRemoved;
+  if (!is_removed && host_.is_routed(job, item)) return ItemRoute::kPresent;
+  if (now < job.accepted_at + limits.max_config_age_ms) return ItemRoute::kUnknown;
+  return is_removed || job.is_intact(item) ? ItemRoute::kLost : ItemRoute::kUnknown;
+}
+
+void ItemSchedule::dead_letter_items(SchedulingRound& round) {
   for (const std::string& tenant : table_.open_tenants()) {
     std::optional<OpenJob> at;
     while ((at = table_.next_open_job(tenant, at))) {
       const JobKey key{tenant, at->id};
-      if (host_.may_run(round.now, key)) dead_letter_if_overdue(round, key, *table_.find(key));
+      if (host_.may_run(round.now, key)) dead_letter_items_of(round, key, *table_.find(key));
     }
   }
 }
 
-// Dead-letters the waiting items of a job whose route was removed or whose maximum wait is over.
-void ItemSchedule::dead_letter_if_overdue(SchedulingRound& round, const JobKey& key, const Job& job) {
+// Dead-letters the waiting items of a job whose maximum wait is over, and those that a new configuration does
+// not lead to their route any more.
+void ItemSchedule::dead_letter_items_of(SchedulingRound& round, const JobKey& key, const Job& job) {
   const ItemLimits& limits = limits_for(round, job.spec.route);
   if (limits.state == ItemLimits::RouteState::kUnknown) return;
-  if (limits.state == ItemLimits::RouteState::kPresent && !is_overdue(round.now, job, limits)) return;
   JobState& state = states_[key];
-  std::vector<std::uint32_t> overdue;
+  const bool overdue = is_overdue(round.now, job, limits);
+  if (!overdue && state.checked_generation == limits.generation) return;
+  state.checked_generation = limits.generation;
+  std::vector<std::uint32_t> dead;
   for (std::uint32_t item = 0; item < job.spec.items.size(); ++item) {
-    const Phase phase = state.items[item].phase;
+    const auto known = state.items.find(item);
+    const Phase phase = known == state.items.end() ? Phase::kWaiting : known->second.phase;
     const bool open = phase == Phase::kWaiting || phase == Phase::kCorrupted;
-    if (!state.stopped && !job.has_result[item] && open) overdue.push_back(item);
+    if (state.stopped || job.has_result[item] || !open) continue;
+    const ItemRoute route = route_of(round.now, job, limits, item);
+    if (overdue || route == ItemRoute::kLost) dead.push_back(item);
+    if (route == ItemRoute::kUnknown) state.checked_generation = 0;
   }
-  for (const std::uint32_t item : overdue) {
+  for (const std::uint32_t item : dead) {
     if (!states_.contains(key)) return;  // an earlier result has made the host forget the job
     finish(round.now, key, item, ResultState::kDeadLetter, "");
   }
@@ -182,9 +199,12 @@
     own.phase = Phase::kCorrupted;
     return host_.on_corrupted_item(key, item, own.reason);
   }
+  const ItemRoute route = route_of(now, job, limits, item);
+  if (route == ItemRoute::kLost) return finish(now, key, item, ResultState::kDeadLetter, "");
+  if (route == ItemRoute::kUnknown) return retry_later(now, state, item, kRetryDelayMs);
   own.phase = Phase::kRunning;
   own.run = ++last_run_;
-  runs_.emplace(own.run, RunRecord{key, item, limits.max_attempts});
+  runs_.emplace(own.run, RunRecord{key, item, limits});
   ItemRun run;
   run.id = own.run;
   run.key = key;
@@ -198,7 +218,7 @@
 void ItemSchedule::on_run_ended(Millis now, RunId run, RunOutcome outcome) {
   const auto running = runs_.find(run);
   if (running == runs_.end()) return;
-  const auto [key, index, max_attempts] = running->second;
+  const auto [key, index, limits] = running->second;
   runs_.erase(running);
   JobState& state = states_.at(key);
   Item& item = state.items.at(index);
@@ -208,14 +228,21 @@
     return finish(now, key, index, ResultState::kCompleted,
                   outcome.text ? std::move(outcome.text->text) : "");
   }
-  const bool failed = outcome.end == RunEnd::kServerError && ++item.failures >= max_attempts;
+  const bool failed = outcome.end == RunEnd::kServerError && ++item.failures >= limits.max_attempts;
   if (failed || outcome.end == RunEnd::kUnprocessable) {
     return finish(now, key, index, ResultState::kDeadLetter, "");
   }
   if (outcome.text) item.partial_text = *std::move(outcome.text);
   item.reason = reason_after(outcome.end);
-  item.retry_at = now + (outcome.end == RunEnd::kServerError ? kServerErrorRetryDelayMs : kRetryDelayMs);
-  state.retry_items.insert(index);
+  retry_later(now, state, index,
+              outcome.end == RunEnd::kServerError ? kServerErrorRetryDelayMs : kRetryDelayMs);
+  // The other items may have been checked against the next configuration while this one ran.
+  if (state.checked_generation != limits.generation) state.checked_generation = 0;
+}
+
+void ItemSchedule::retry_later(Millis now, JobState& state, std::uint32_t item, Millis delay) {
+  state.items[item].retry_at = now + delay;
+  state.retry_items.insert(item);
 }
 
 void ItemSchedule::finish(Millis now, const JobKey& key, std::uint32_t item, ResultState result,
--- a/src/batch/item_schedule.h
+++ b/src/batch/item_schedule.h
@@ -65,6 +65,10 @@
     kPresent
   };
   RouteState state = RouteState::kUnknown;
+  std::uint64_t generation = 0;  // of the configuration
+  // How long the configuration under which a job was accepted may be newer than this one: a route that leads
+  // to the items of a younger job may be yet to come.
+  Millis max_config_age_ms = 0;
   double max_wait_s = 0;  // 0: no limit
   int max_attempts = 1;   // responses with status 500 after which an item is dead-lettered
 };
@@ -76,6 +80,9 @@
   // Whether this store is certain to be the job's primary and the job is open.
   virtual bool may_run(Millis now, const JobKey& key) = 0;
   virtual ItemLimits limits_for(Millis now, const std::string& route) = 0;
+  // Whether the current configuration leads the item to the route of its job. Asked only while that route is
+  // present.
+  virtual bool is_routed(const Job& job, std::uint32_t item) const = 0;
   // Whether the limit on concurrent runs allows one more.
   virtual bool can_start() const = 0;
   // Whether a server has capacity for one more item of a route, besides those already started.
@@ -94,8 +101,9 @@
  public:
   ItemSchedule(const JobTable& table, ItemHost& host) : table_(table), host_(host) {}
 
-  // Dead-letters overdue items and starts those that may start: one item of each tenant in turn, from its
-  // oldest job first. A call while a pump is in progress makes that one do another round.
+  // Dead-letters items that are overdue or that no route leads to any more, and starts those that may start:
+  // one item of each tenant in turn, from its oldest job first. A call while a pump is in progress makes that
+  // one do another round.
   void pump(Millis now);
   // Reports the end of a run; ignored if the run no longer counts.
   void on_run_ended(Millis now, RunId run, RunOutcome outcome);
@@ -128,11 +136,13 @@
     std::uint32_t next_unstarted = 0;     // all items before it were started or can't be
     std::set<std::uint32_t> retry_items;  // items that ran before and wait for another run
     bool stopped = false;
+    // Generation of the configuration whose routes all waiting items were checked against. 0: none.
+    std::uint64_t checked_generation = 0;
   };
   struct RunRecord {
     JobKey key;
     std::uint32_t item = 0;
-    int max_attempts = 1;  // as configured when the run started
+    ItemLimits limits;  // as configured when the run started
   };
   // What one round over the open jobs has learned from the host, kept by route to save further queries.
   struct SchedulingRound {
@@ -153,8 +163,11 @@
   bool has_capacity(SchedulingRound& round, const std::string& route);
   bool may_start(Millis now, const Job& job, const JobState& state, std::uint32_t item) const;
   std::optional<std::uint32_t> next_item(SchedulingRound& round, const Job& job, JobState& state);
-  void dead_letter_overdue(SchedulingRound& round);
-  void dead_letter_if_overdue(SchedulingRound& round, const JobKey& key, const Job& job);
+  enum class ItemRoute : std::uint8_t { kPresent, kUnknown, kLost };
+  ItemRoute route_of(Millis now, const Job& job, const ItemLimits& limits, std::uint32_t item) const;
+  void retry_later(Millis now, JobState& state, std::uint32_t item, Millis delay);
+  void dead_letter_items(SchedulingRound& round);
+  void dead_letter_items_of(SchedulingRound& round, const JobKey& key, const Job& job);
   void start_round_robin(SchedulingRound& round);
   bool start_item_of_tenant(SchedulingRound& round, TenantCursor& cursor);
   bool start_item_of_job(SchedulingRound& round, const JobKey& key);
--- a/src/batch/job_call_handler.cpp
+++ b/src/batch/job_call_handler.cpp
@@ -90,7 +90,7 @@
                                                                       << name_of(BodyCheckStep::kStoreCall));
     return answer(waiting, kNotPrimary, "");  // nothing is stored; the edge node sends it again
   }
-  const Route* route = host_.route_named(spec.route);
+  const Route* route = host_.route_of(spec);
   if (route == nullptr) return answer(waiting, kUnavailable, "");
   if (!fits_queue_limit(key, spec, *route)) return answer(waiting, kTooManyRequests, "");
   pending_submissions_[key] = {tokens_of(spec), memory_bytes};
--- a/src/batch/job_call_handler.h
+++ b/src/batch/job_call_handler.h
@@ -24,7 +24,8 @@
   // Whether a new job can be stored: enough replicas take part, the journal has space, and so has the memory
   // for `memory_bytes`: those of the job and of the submissions that have not committed yet.
   virtual bool accepts_job(const JobKey& key, std::size_t memory_bytes) = 0;
-  virtual const Route* route_named(const std::string& name) = 0;
+  // The job's route, if the current configuration leads all of its items to it; null otherwise.
+  virtual const Route* route_of(const JobSpec& job) = 0;
   // Queues a change at the shard's primary and starts its replication.
   virtual void change(Millis now, JobChange change) = 0;
   // Starts no more items of a job and abandons those that run.
--- a/src/batch/store_service.cpp
+++ b/src/batch/store_service.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "batch/item_route.h"
 #include "control/placement.h"
 #include "node/log.h"
 
@@ -72,9 +73,9 @@
   return static_cast<double>(disk_.table->memory_bytes() + more_bytes) <= limit;
 }
 
-const Route* StoreService::route_named(const std::string& name) {
+const Route* StoreService::route_of(const JobSpec& job) {
   const auto configuration = control_client_.configuration();
-  return configuration ? configuration->route_named(name) : nullptr;
+  return configuration ? route_of_job(*configuration, job) : nullptr;
 }
 
 void StoreService::change(Millis now, JobChange change) {
--- a/src/batch/store_service.h
+++ b/src/batch/store_service.h
@@ -68,7 +68,7 @@
   // JobCallHost
   bool may_serve(Millis now, const JobKey& key) override;
   bool accepts_job(const JobKey& key, std::size_t memory_bytes) override;
-  const Route* route_named(const std::string& name) override;
+  const Route* route_of(const JobSpec& job) override;
   void change(Millis now, JobChange change) override;
   void stop(const JobKey& key) override { runner_->stop(key); }
 
--- a/src/control/control_client.h
+++ b/src/control/control_client.h
@@ -63,6 +63,8 @@
   const ControlState& state() const { return state_; }
   // Whether the configuration is recent enough to serve requests by it.
   bool has_config_lease(Millis now) const { return now < lease_until_; }
+  // How long a node that holds the lease may be without a newer configuration that others have.
+  Millis config_lease_ms() const { return settings_.lease_ms; }
   // Whether a primary of a batch shard may still act as one.
   bool has_primary_lease(Millis now) const { return now < placement_confirmed_at_ + kPrimaryLeaseMs; }
   std::vector<ListedServer> servers() const;
--- a/src/node/batch_request_handler.cpp
+++ b/src/node/batch_request_handler.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/digest.h"
+#include "batch/item_route.h"
 #include "batch/job_json.h"
 #include "control/placement.h"
 #include "node/log.h"
@@ -88,7 +89,8 @@
   co_await exchange->respond(kServiceUnavailable, std::move(headers), "{}");
 }
 
-asio::awaitable<void> BatchRequestHandler::submit(std::shared_ptr<HttpExchange> exchange, const Route& route,
+asio::awaitable<void> BatchRequestHandler::submit(std::shared_ptr<HttpExchange> exchange,
+                                                  const Configuration& configuration, const Route& route,
                                                   std::string tenant) {
   const HttpRequest& request = exchange->request;
   if (digest_of(request.body) != request.body_digest) {
@@ -110,6 +112,8 @@
   spec->tenant = tenant;
   spec->route = route.name;
   spec->host = request.host();
+  if (route_of_job(configuration, *spec) == nullptr)
+    co_return co_await exchange->respond(400, kJson, "{\"error\":\"an item's path is not under the route\"}");
   JobCall call{};
   call.kind = JobCallKind::kSubmit;
   call.tenant = std::move(tenant);
--- a/src/node/batch_request_handler.h
+++ b/src/node/batch_request_handler.h
@@ -27,8 +27,10 @@
                       std::uint64_t first_call)
       : io_(io), messenger_(messenger), control_client_(control_client), pending_calls_(io, first_call) {}
 
-  // Submits the job in the request's body for `tenant`.
-  boost::asio::awaitable<void> submit(std::shared_ptr<HttpExchange> exchange, const Route& route,
+  // Submits the job in the request's body for `tenant`. Each item has to be under the job's `route`, as
+  // `configuration` has it.
+  boost::asio::awaitable<void> submit(std::shared_ptr<HttpExchange> exchange,
+                                      const Configuration& configuration, const Route& route,
                                       std::string tenant);
   // Handles GET and DELETE of /nettlestand/lots/ID and GET of /nettlestand/items/ID. The job is looked up
   // under each of `owners`, the tenants whose jobs the client may use, until it is found. False, without a
--- a/src/node/client_request_handler.cpp
+++ b/src/node/client_request_handler.cpp
@@ -130,7 +130,7 @@
     if (request.received_at + BatchRequestHandler::kMaxCallMs > stop_deadline_) {
       co_return co_await refuse(exchange, RefusalCause::kStopping, tenant);
     }
-    co_return co_await batch_.submit(std::move(exchange), *route, tenant);
+    co_return co_await batch_.submit(std::move(exchange), *configuration, *route, tenant);
   }
   if (deadline_of(request, *route) > stop_deadline_) {
     co_return co_await refuse(exchange, RefusalCause::kStopping, tenant);
--- a/tests/system/item_test.cpp
+++ b/tests/system/item_test.cpp
@@ -25,11 +25,20 @@
 const std::string kEdge = "10.0.0.2:7000", kReplica = "10.0.0.8:7000", kOtherStore = "10.0.0.7:7000";
 const std::string kTenant = "t", kBody = "the body of an item";
 
-const std::string kConfiguration =
-    "{\"generation\":1,\"services\":[{\"name\":\"s\"}],\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"]}],"
-    "\"routes\":[{\"name\":\"jobs\",\"hostname\":\"h\",\"path_prefix\":\"/jobs/\",\"service\":\"s\","
-    "\"timeout_ms\":4000,\"target_latency_ms\":300,\"route_class\":\"batch\",\"max_attempts\":2,"
-    "\"max_wait_s\":600}]}";
+// Where the only route leads.
+struct RouteTarget {
+  std::string prefix, service, route_class = "batch", name = "jobs", host = "h";
+};
+const RouteTarget kJobsRoute = {"/jobs/", "s"};
+
+std::string configuration(std::uint64_t generation, const RouteTarget& target) {
+  return "{\"generation\":" + std::to_string(generation) +
+         ",\"services\":[{\"name\":\"s\"},{\"name\":\"other\"}],"
+         "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"]}],\"routes\":[{\"name\":\"" +
+         target.name + "\",\"hostname\":\"" + target.host + "\",\"path_prefix\":\"" + target.prefix +
+         "\",\"service\":\"" + target.service + "\",\"route_class\":\"" + target.route_class +
+         "\",\"timeout_ms\":4000,\"target_latency_ms\":300,\"max_attempts\":2,\"max_wait_s\":600}]}";
+}
 
 // A request as a server received it.
 struct ReceivedRequest {
@@ -142,7 +151,7 @@
                        return std::make_unique<ItemRunner>(io_, forwarder_, control_client_, table,
                                                            std::move(hooks));
                      });
-    leader_.configure(1, kConfiguration);
+    configure(1, kJobsRoute);
     REQUIRE(control_client_.has_config_lease(steady_now()));
     leader_.add_store(service_->disk_id(), "10.0.0.9:7000");
     leader_.add_store(kReplicaDisk, kReplica);
@@ -152,6 +161,15 @@
 
   StoreService& service() { return *service_; }
 
+  void configure(std::uint64_t generation, const RouteTarget& target) {
+    leader_.configure(generation, configuration(generation, target));
+  }
+  // Lists this server as one of the service "other", beside that of the service "s".
+  void list_other_service(const ItemServer& server, const ItemServer& other) {
+    std::vector<ListedServer> servers = listed_servers({server.address()}, kSlots);
+    add_listed_server(servers, "other", other.address(), kSlots);
+    forwarder_.pool().set_servers(servers);
+  }
   // Sets the members of the shard, first the primary, and renews the store's lease.
   void place(const std::vector<StoreId>& members) {
     leader_.place(batch_shard_of(kTenant), members);
@@ -536,6 +554,123 @@
   CHECK(store.read("j").find("\"state\":\"completed\",\"text\":\"one\\ntwo\"") != std::string::npos);
 }
 
+// ---------------------------------------------------------------- routes that change under a job
+
+namespace {
+
+constexpr Millis kAfterConfigLeaseMs = 4200;  // by then a store has each configuration of before
+
+std::size_t count_of(const std::string& text, const std::string& part) {
+  std::size_t count = 0;
+  for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) ++count;
+  return count;
+}
+
+const std::string kDeadLetter = "\"state\":\"dead_letter\"";
+
+}  // namespace
+
+// Guards against: accepted items run at a service to which no configuration ever led them.
+TEST_CASE("items of a route that a change leads elsewhere run nowhere and are dead-lettered") {
+  const auto moved = GENERATE(RouteTarget{"/night/", "other"}, RouteTarget{"/jobs/y/", "other"},
+                              RouteTarget{"/jobs/", "other", "batch", "jobs", "another-host"},
+                              RouteTarget{"/jobs/", "other", "idempotent"},
+                              RouteTarget{"/jobs/", "other", "batch", "another-name"});
+  INFO(moved.host << moved.prefix << " " << moved.route_class << " " << moved.name);
+  ItemServer server, other;
+  Store store(server);
+  store.list_other_service(server, other);
+  store.answer_as_replica();
+  server.set_full(true);
+  store.submit(job_of("j", 3));
+  store.settle();
+  store.answer_as_replica();
+  server.set_full(false);
+  const std::size_t before = server.received().size();
+  store.configure(2, moved);
+  for (int i = 0; i < 3; ++i) {
+    clock_shift += kAfterConfigLeaseMs;
+    store.tick();
+    store.settle();
+    store.answer_as_replica();
+  }
+  CHECK(other.received().empty());
+  CHECK(server.received().size() == before);
+  CHECK(count_of(store.read("j"), kDeadLetter) == 3);
+}
+
+// Guards against: an item that was started before a change is sent by the old name of its route after it.
+TEST_CASE("an item that is on its way when a change leads its route elsewhere is not sent") {
+  ItemServer server, other;
+  Store store(server);
+  store.list_other_service(server, other);
+  store.answer_as_replica();
+  store.submit(job_of("j", 2));  // started, and not sent yet
+  store.configure(2, {"/night/", "s"});
+  store.settle();
+  CHECK(server.received().empty());
+  CHECK(other.received().empty());
+}
+
+TEST_CASE("the items of a route go on at the service to which a change leads their prefix") {
+  ItemServer server, other;
+  Store store(server);
+  store.list_other_service(server, other);
+  store.answer_as_replica();
+  server.set_full(true);
+  store.submit(job_of("j", 3));
+  store.settle();
+  store.configure(2, {"/jobs/", "other"});
+  clock_shift += kAfterRetryDelayMs;
+  store.tick();
+  store.settle();
+  store.answer_as_replica();
+  CHECK(other.received().size() == 3);
+  CHECK(count_of(store.read("j"), kDeadLetter) == 0);
+}
+
+// Guards against: a store whose configuration is older than its job's gives the job's items up.
+TEST_CASE("a store that has yet to get the route of a job waits for it") {
+  const bool has_other_route = GENERATE(false, true);
+  INFO("the store has a route of that name " << has_other_route);
+  ItemServer server, other;
+  Store store(server);
+  store.list_other_service(server, other);
+  store.configure(2, {"/night/", "other", "batch", has_other_route ? "jobs" : "another-name"});
+  store.place({kOtherStoreDisk, store.service().disk_id()});
+  JobChange job{};
+  job.tenant = kTenant;
+  job.job = "j";
+  job.spec.push_back(job_of("j", 2));
+  store.replicate_from(kOtherStore, job);
+  store.place({store.service().disk_id(), kReplicaDisk});
+  for (int i = 0; i < 3; ++i) {
+    clock_shift += kAfterRetryDelayMs;
+    store.tick();
+    store.answer_as_replica();
+    store.settle();
+    store.answer_as_replica();
+  }
+  CHECK(other.received().empty());
+  CHECK(count_of(store.read("j"), kDeadLetter) == 0);
+  store.configure(3, kJobsRoute);
+  clock_shift += kAfterRetryDelayMs;
+  store.tick();
+  store.settle();
+  store.answer_as_replica();
+  CHECK(server.received().size() == 2);
+  CHECK(count_of(store.read("j"), "\"state\":\"completed\"") == 2);
+}
+
+TEST_CASE("a store takes no job whose items its configuration leads elsewhere") {
+  ItemServer server;
+  Store store(server);
+  store.answer_as_replica();
+  store.configure(2, {"/night/", "s"});
+  CHECK(store.try_submit(job_of("j", 2)) == 503);
+  CHECK(store.jobs().find({kTenant, "j"}) == nullptr);
+}
+
 // ---------------------------------------------------------------- bodies corrupted on their way
 
 TEST_CASE(
--- a/tests/system/listed_servers.h
+++ b/tests/system/listed_servers.h
@@ -1,4 +1,4 @@
-// Lists servers of the service "s" for a ServerPool, as the platform does.
+// Lists servers for a ServerPool, as the platform does.
 #pragma once
 
 #include <string>
@@ -8,7 +8,7 @@
 
 namespace nettlestand::tier {
 
-// The servers "i-0", "i-1" and so on, one per address.
+// The servers "i-0", "i-1" and so on of the service "s", one per address.
 inline std::vector<ListedServer> listed_servers(const std::vector<std::string>& addresses,
                                                 std::uint32_t slots) {
   std::vector<ListedServer> out;
@@ -23,6 +23,17 @@
   return out;
 }
 
+// Adds a server of another service to a list.
+inline void add_listed_server(std::vector<ListedServer>& servers, const std::string& service,
+                              const std::string& address, std::uint32_t slots) {
+  ListedServer server{};
+  server.id = "i-" + service + "-" + address;
+  server.service = service;
+  server.address = address;
+  server.slots = slots;
+  servers.push_back(server);
+}
+
 // Makes these the servers of the only node.
 inline void list_servers(ServerPool& pool, const std::vector<std::string>& addresses,
                          std::uint32_t slots = 8) {
--- a/tests/system/schedule_test.cpp
+++ b/tests/system/schedule_test.cpp
@@ -16,6 +16,7 @@
 constexpr int kSteps = 1500;
 constexpr std::uint64_t kWalks = 60;
 constexpr int kMaxAttempts = 3;
+constexpr Millis kMaxConfigAgeMs = 400;
 
 JobChange change_of(const JobKey& key) {
   JobChange out{};
@@ -47,8 +48,12 @@
     out.state = below(20) == 0 ? ItemLimits::RouteState::kUnknown : ItemLimits::RouteState::kPresent;
     out.max_wait_s = 6;
     out.max_attempts = kMaxAttempts;
+    out.generation = generation_;
+    out.max_config_age_ms = kMaxConfigAgeMs;
     return out;
   }
+  // Some configurations have no route for items with odd numbers.
+  bool is_routed(const Job&, std::uint32_t item) const override { return has_odd_route_ || item % 2 == 0; }
   bool can_start() const override { return runs_.size() < kMaxRuns; }
   bool has_capacity(Millis, const std::string&) override { return below(4) != 0; }
   void start(Millis, const ItemRun& run) override {
@@ -57,6 +62,7 @@
     REQUIRE(job != nullptr);
     CHECK(is_primary_);
     CHECK_FALSE(job->ended);
+    CHECK(is_routed(*job, run.item));
     CHECK_FALSE(job->has_result[run.item]);
     CHECK(job->spec.items[run.item].body == body_of(run.key, run.item));
     CHECK_FALSE(stopped_.contains(run.key));
@@ -95,7 +101,8 @@
     if (drawn < 88) return request_end();
     if (drawn < 91) return step_down();
     if (drawn < 94) return apply_result_elsewhere();
-    if (drawn < 98) return become_primary();
+    if (drawn < 97) return become_primary();
+    if (drawn < 99) return change_routes();
     remove();
   }
   void submit() {
@@ -114,6 +121,10 @@
     job.spec.push_back(spec);
     table_.apply(now_, job);
   }
+  void change_routes() {
+    ++generation_;
+    has_odd_route_ = below(3) != 0;
+  }
   void end_run() {
     if (runs_.empty()) return;
     auto at = runs_.begin();
@@ -195,6 +206,8 @@
   ItemSchedule schedule_;
   Millis now_ = 1000;
   bool is_primary_ = true;
+  std::uint64_t generation_ = 1;  // of the configuration
+  bool has_odd_route_ = true;
   std::uint64_t jobs_ = 0;
   std::map<RunId, Running> runs_;
   std::set<RunId> ids_;
--- a/tests/system/traffic_world.cpp
+++ b/tests/system/traffic_world.cpp
@@ -16,8 +16,16 @@
 constexpr int kFaultySteps = 60, kMaxFaultFreeSteps = 1500;
 constexpr std::size_t kLiveBodyBytes = 400;
 
-const std::string kConfiguration =
-    "{\"generation\":1,\"services\":[{\"name\":\"s\"}],"
+const std::string kOtherServer = "10.9.1.1:80";  // the only server of the service "other"
+
+// Where a configuration leads the route for batch jobs.
+struct JobsRoute {
+  std::string prefix, service;
+};
+const JobsRoute kJobsRoute = {"/jobs/", "s"}, kMovedJobsRoute = {"/night/", "other"};
+
+const std::string kServicesAndLiveRoutes =
+    "\"services\":[{\"name\":\"s\"},{\"name\":\"other\"}],"
     "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"]}],\"routes\":["
     "{\"name\":\"once\",\"hostname\":\"h.example\",\"path_prefix\":\"/once/\",\"service\":\"s\","
     "\"timeout_ms\":60000,\"target_latency_ms\":300,\"route_class\":\"non_idempotent\",\"max_attempts\":3},"
@@ -29,10 +37,20 @@
     "{\"name\":\"stream-once\",\"hostname\":\"h.example\",\"path_prefix\":\"/stream-once/"
     "\",\"service\":\"s\","
     "\"timeout_ms\":60000,\"target_latency_ms\":300,\"route_class\":\"streaming\",\"max_attempts\":3,"
-    "\"gap_aim_ms\":150},"
-    "{\"name\":\"jobs\",\"hostname\":\"h.example\",\"path_prefix\":\"/jobs/\",\"service\":\"s\","
-    "\"timeout_ms\":60000,\"target_latency_ms\":300,\"route_class\":\"batch\",\"max_attempts\":50,"
-    "\"max_wait_s\":6000}]}";
+    "\"gap_aim_ms\":150},";
+
+std::string configuration(std::uint64_t generation, const JobsRoute& jobs) {
+  return "{\"generation\":" + std::to_string(generation) + "," + kServicesAndLiveRoutes +
+         "{\"name\":\"jobs\",\"hostname\":\"h.example\",\"path_prefix\":\"" + jobs.prefix +
+         "\",\"service\":\"" + jobs.service +
+         "\",\"timeout_ms\":60000,\"target_latency_ms\":300,\"route_class\":\"batch\",\"max_attempts\":50,"
+         "\"max_wait_s\":6000}]}";
+}
+
+// The only service to which any configuration leads a path.
+std::string service_of(const std::string& target) {
+  return target.starts_with(kMovedJobsRoute.prefix) ? kMovedJobsRoute.service : kJobsRoute.service;
+}
 
 std::string event_of(const std::string& id, std::size_t number) {
   return "id: " + std::to_string(number) + "\ndata: " + id + " " + std::to_string(number) + "\n\n";
@@ -98,7 +116,8 @@
 // A connection to a fake server with one behaviour.
 class FakeConnection : public UpstreamConnection {
  public:
-  FakeConnection(World& world, Behaviour behaviour) : world_(world), behaviour_(behaviour) {}
+  FakeConnection(World& world, std::string service, Behaviour behaviour)
+      : world_(world), service_(std::move(service)), behaviour_(behaviour) {}
 
   asio::awaitable<bool> send(OutgoingRequest request, Millis, bool& sent) override {
     id_ = request.id;
@@ -108,7 +127,7 @@
     if (cancelled_ || behaviour_ == Behaviour::kClosesBeforeRequest) co_return false;
     sent = true;
     const bool is_rejected = behaviour_ == Behaviour::kRejects || behaviour_ == Behaviour::kMisdirects;
-    world_.on_arrival(id_, request, !is_rejected);
+    world_.on_arrival(id_, service_, request, !is_rejected);
     const ParsedHead head = parse_head(request.bytes);
     is_stream_ = world_.sent_request(id_).is_item || head.target.starts_with("/stream");
     const auto last = head.headers.find("Last-Event-Id");
@@ -175,6 +194,7 @@
   }
 
   World& world_;
+  std::string service_;
   Behaviour behaviour_;
   std::string id_, body_;
   std::size_t read_ = 0, end_of_unframed_ = 0;
@@ -185,11 +205,12 @@
 class FakeUpstream : public Upstream {
  public:
   explicit FakeUpstream(World& world) : world_(world) {}
-  asio::awaitable<UpstreamConnectionPtr> open(std::string, std::string, Millis, bool) override {
+  asio::awaitable<UpstreamConnectionPtr> open(std::string address, std::string, Millis, bool) override {
     const Behaviour behaviour = random_behaviour(world_);
     co_await world_.yield_randomly();
     if (behaviour == Behaviour::kNoConnection) co_return nullptr;
-    co_return std::make_shared<FakeConnection>(world_, behaviour);
+    const std::string& service = address == kOtherServer ? kMovedJobsRoute.service : kJobsRoute.service;
+    co_return std::make_shared<FakeConnection>(world_, service, behaviour);
   }
   void release(const std::string&, UpstreamConnectionPtr) override {}
   void close_idle(Millis) override {}
@@ -302,7 +323,10 @@
 void World::refresh_server_list() {
   std::vector<std::string> addresses;
   for (std::size_t i = 0; i < kServers; ++i) addresses.push_back("10.9.0.1:" + std::to_string(80 + i));
-  list_servers(forwarder_.pool(), addresses, kSlots);
+  std::vector<ListedServer> servers = listed_servers(addresses, kSlots);
+  add_listed_server(servers, kMovedJobsRoute.service, kOtherServer, kSlots);
+  forwarder_.pool().set_servers(servers);
+  forwarder_.pool().set_position({0, 1}, {0, 1});
 }
 
 void World::open_store() {
@@ -327,7 +351,7 @@
 }
 
 void World::configure() {
-  leader_.configure(1, kConfiguration);
+  leader_.configure(generation_, configuration(generation_, kJobsRoute));
   if (!control_client_.has_config_lease(steady_now())) fail("no configuration");
   leader_.add_store(store_->disk_id(), messenger_->own_address());
   leader_.add_store(kReplicaDisk, kReplica);
@@ -384,6 +408,7 @@
 
 void World::send_job() {
   const std::string id = "j" + std::to_string(++last_id_);
+  const std::string& prefix = (jobs_moved_ ? kMovedJobsRoute : kJobsRoute).prefix;
   std::string requests;
   for (std::uint64_t i = 0; i < 1 + random_below(5); ++i) {
     const std::string item = id + "-" + std::to_string(i);
@@ -391,7 +416,7 @@
     sent.is_item = true;
     sent.repeatable = true;
     sent.max_runs = 1 << 30;
-    sent.target = "/jobs/x/" + item;
+    sent.target = prefix + "x/" + item;
     sent.body = "body of " + item + std::string(random_below(kLiveBodyBytes), 'b');
     sent.headers["X-Model"] = "m" + item;
     job_items_[id].push_back(item);
@@ -399,7 +424,7 @@
                 "\",\"headers\":{\"X-Model\":\"m" + item + "\"},\"body\":\"" + absl::Base64Escape(sent.body) +
                 "\",\"tokens\":10}";
   }
-  const auto exchange = exchange_for(id, "/jobs/", "{\"requests\":[" + requests + "]}");
+  const auto exchange = exchange_for(id, prefix, "{\"requests\":[" + requests + "]}");
   asio::co_spawn(
       io_, [this, exchange] { return serve(exchange); }, asio::detached);
 }
@@ -417,6 +442,13 @@
   store_->on_job_call(steady_now(), kOtherStore, call);
 }
 
+// Leads the route for batch jobs elsewhere under its name, or back.
+void World::move_jobs_route() {
+  jobs_moved_ = !jobs_moved_;
+  ++generation_;
+  leader_.configure(generation_, configuration(generation_, jobs_moved_ ? kMovedJobsRoute : kJobsRoute));
+}
+
 // Makes another store the primary of the shard, or this one again.
 void World::move_shard() {
   shard_moved_ = !shard_moved_;
@@ -426,13 +458,15 @@
 
 // ---------------------------------------------------------------- servers
 
-void World::on_arrival(const std::string& id, const OutgoingRequest& request, bool runs) {
+void World::on_arrival(const std::string& id, const std::string& service, const OutgoingRequest& request,
+                       bool runs) {
   ++arrivals_;
   if (!is_known(id)) return fail("server received a request that no client sent: " + id);
   SentRequest& sent = sent_[id];
   const ParsedHead head = parse_head(request.bytes);
   const std::string body = request.bytes.substr(head.size);
   if (head.method != sent.method || head.target != sent.target) fail("method or target differs: " + id);
+  if (service != service_of(sent.target)) fail("sent to a service where no configuration leads it: " + id);
   if (body != sent.body) fail("body differs: " + id + " size " + std::to_string(body.size()));
   if (request.body_size != body.size() || request.body_digest != digest_of(sent.body)) {
     fail("digest differs from that of the client's body: " + id);
@@ -497,6 +531,7 @@
     if (chance(12)) send_job();
     if (chance(3)) end_job();
     if (chance(3)) move_shard();
+    if (chance(2)) move_jobs_route();
     step();
   }
   fault_free_ = true;
--- a/tests/system/traffic_world.h
+++ b/tests/system/traffic_world.h
@@ -72,7 +72,8 @@
   SentRequest& sent_request(const std::string& id) { return sent_[id]; }
   bool is_known(const std::string& id) const { return sent_.contains(id); }
   // A request reaches a server, which runs it or rejects it.
-  void on_arrival(const std::string& id, const OutgoingRequest& request, bool runs);
+  void on_arrival(const std::string& id, const std::string& service, const OutgoingRequest& request,
+                  bool runs);
   void on_answered() { ++live_answered_; }
   // Lets other coroutines run a few times.
   asio::awaitable<void> yield_randomly();
@@ -86,6 +87,7 @@
   void send_live_request();
   void send_job();
   void end_job();
+  void move_jobs_route();
   void move_shard();
   void step();
   void answer_as_replica();
@@ -114,7 +116,8 @@
   std::string failure_;
   std::uint64_t last_id_ = 0;
   std::size_t live_answered_ = 0, items_done_ = 0, arrivals_ = 0;
-  bool fault_free_ = false, shard_moved_ = false;
+  std::uint64_t generation_ = 1;  // of the configuration
+  bool fault_free_ = false, shard_moved_ = false, jobs_moved_ = false;
 };
 
 }  // namespace nettlestand::tier::traffic
--- a/tools/simulate/cluster.cpp
+++ b/tools/simulate/cluster.cpp
@@ -180,6 +180,7 @@
     out.max_attempts = kMaxItemAttempts;
     return out;
   }
+  bool is_routed(const Job&, std::uint32_t) const override { return true; }
   bool can_start() const override { return active_runs_ < kMaxActiveRuns; }
   bool has_capacity(Millis, const std::string&) override { return can_start(); }
   void on_corrupted_item(const JobKey& key, std::uint32_t, StartReason) override {
