Keep what a machine decides during the bootstrap on its disk

Cause: a seed's vote lived in memory, so that a seed whose disk had been used had no vote, and only a machine with `bootstrap` true proposed. Restarted before they had voted, all seeds were without a vote for good.

Each is durable before anybody hears of it; a machine that comes back with its disk goes on there. An empty or damaged disk at a later start takes no part, as it may have voted; nor does a machine that has heard of a leader. An elected proposer that was killed between the writes of its groups creates those that it lacks: before, they never existed.

The tests of System.control follow the split of choosing members and asking; they check what they did, and that a restarted proposer proposes the same.

--- a/src/control/bootstrap.cpp
+++ b/src/control/bootstrap.cpp
@@ -11,11 +11,9 @@
 
 }  // namespace
 
-std::optional<BootstrapRequest> BootstrapProposer::next_request(Millis now, const NodeInfo& self,
-                                                                std::vector<NodeInfo> core) {
-  if (now < settings_.started_at + kDiscoveryDelayMs || now < next_request_at_) return std::nullopt;
+std::optional<BootstrapRequest> BootstrapProposer::next_request(Millis now, const NodeInfo& self) {
+  if (members_.empty() || now < next_request_at_) return std::nullopt;
   next_request_at_ = now + kRequestIntervalMs;
-  if (members_.empty() && !choose_members(now, self, std::move(core))) return std::nullopt;
   BootstrapRequest request{};
   request.members = members_;
   request.proposer = self.disk_id;
@@ -24,6 +22,7 @@
 
 // Only the machine with the lowest address proposes.
 bool BootstrapProposer::choose_members(Millis now, const NodeInfo& self, std::vector<NodeInfo> core) {
+  if (!members_.empty() || now < settings_.started_at + kDiscoveryDelayMs) return false;
   std::erase_if(core, [](const NodeInfo& node) { return node.disk_id == 0; });
   std::sort(core.begin(), core.end(),
             [](const NodeInfo& a, const NodeInfo& b) { return a.address < b.address; });
@@ -51,10 +50,10 @@
 
 std::optional<BootstrapVote> BootstrapVoter::on_request(const BootstrapRequest& request) {
   if (!may_vote_) return std::nullopt;
-  if (!voted_for_) voted_for_ = request.proposer;
+  if (voted_for_ == 0) voted_for_ = request.proposer;
   BootstrapVote vote{};
   vote.proposer = request.proposer;
-  vote.granted = *voted_for_ == request.proposer;
+  vote.granted = voted_for_ == request.proposer;
   return vote;
 }
 
--- a/src/control/journal.cpp
+++ b/src/control/journal.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t reserved_segments_of(std::size_t segments) { return segments / 3; }
 constexpr std::size_t checkpoint_threshold(std::size_t segments) { return segments / 2; }
 
-enum class RecordKind : std::uint8_t { kIdentity, kHardState, kSnapshot, kEntry };
+enum class RecordKind : std::uint8_t { kIdentity, kHardState, kSnapshot, kEntry, kBootstrap };
 
 struct Identity {
   BOOST_HANA_DEFINE_STRUCT(Identity, (std::uint64_t, disk_id));
@@ -56,7 +56,8 @@
   ring.max_segments = std::clamp(fitting, kMinSegments, kMaxSegments);
   ring.reserved_segments = reserved_segments_of(ring.max_segments);
   auto journal = load(ring);
-  if (absl::IsDataLoss(journal.status())) {
+  const bool is_corrupt = absl::IsDataLoss(journal.status());
+  if (is_corrupt) {
     NETTLESTAND_WARNING(
         "control journal is corrupt; starting with an empty one error=" << journal.status().message());
     if (absl::Status status = storage::SegmentRing::erase(ring); !status.ok()) return status;
@@ -68,13 +69,20 @@
     if (!status.ok()) return status;
     return journal;
   }
-  (*journal)->disk_id_ = new_disk_id;
-  (*journal)->is_new_ = true;
-  if (absl::Status status = (*journal)->append_identity(); !status.ok()) return status;
-  if (absl::Status status = (*journal)->sync(); !status.ok()) return status;
+  if (!is_corrupt) {
+    (*journal)->bootstrap_.takes_part = !options.first_start_seeds.empty();
+    (*journal)->bootstrap_.seeds = options.first_start_seeds;
+  }
+  if (absl::Status status = (*journal)->initialize(new_disk_id); !status.ok()) return status;
   return journal;
 }
 
+absl::Status ControlJournal::initialize(std::uint64_t disk_id) {
+  disk_id_ = disk_id;
+  if (absl::Status status = append_identity(); !status.ok()) return status;
+  return sync();
+}
+
 void ControlJournal::load_record(std::string_view record) {
   Decoder decoder(record);
   RecordHeader header{};
@@ -84,6 +92,9 @@
     case RecordKind::kIdentity:
       decoder.get(disk_id_);
       return;
+    case RecordKind::kBootstrap:
+      decoder.get(bootstrap_);
+      return;
     case RecordKind::kHardState:
       decoder.get(state.hard);
       return;
@@ -113,7 +124,14 @@
 absl::Status ControlJournal::append_identity() {
   Identity identity{};
   identity.disk_id = disk_id_;
-  return ring_->append(encode_record(RecordKind::kIdentity, 0, identity)).status();
+  absl::Status status = ring_->append(encode_record(RecordKind::kIdentity, 0, identity)).status();
+  if (!status.ok() || !bootstrap_.takes_part) return status;
+  return ring_->append(encode_record(RecordKind::kBootstrap, 0, bootstrap_)).status();
+}
+
+absl::Status ControlJournal::append_bootstrap(BootstrapState state) {
+  bootstrap_ = std::move(state);
+  return ring_->append(encode_record(RecordKind::kBootstrap, 0, bootstrap_)).status();
 }
 
 absl::Status ControlJournal::append(GroupId group, const consensus::Ready& ready) {
--- a/src/control/replica_host.cpp
+++ b/src/control/replica_host.cpp
@@ -33,9 +33,17 @@
 }
 
 bool ReplicaHost::has_no_state() const {
-  return std::all_of(groups_.begin(), groups_.end(), [](const auto& item) {
-    return item.second.replica->members().empty() && item.second.replica->term() == 0;
-  });
+  return std::all_of(groups_.begin(), groups_.end(),
+                     [this](const auto& item) { return has_no_state(item.first); });
+}
+
+bool ReplicaHost::has_no_state(GroupId group) const {
+  return replica(group).members().empty() && replica(group).term() == 0;
+}
+
+void ReplicaHost::store_bootstrap_state(BootstrapState state, storage::DiskQueue::Done done) {
+  disk_.queue->submit([this, state = std::move(state)] { return disk_.journal->append_bootstrap(state); },
+                      std::move(done));
 }
 
 bool ReplicaHost::has_pending_write() const {
--- a/src/control/replica_host.h
+++ b/src/control/replica_host.h
@@ -48,8 +48,12 @@
   const consensus::Replica& replica(GroupId group) const { return *groups_.at(group).replica; }
   std::uint64_t disk_id() const { return disk_.journal->disk_id(); }
   storage::DiskQueue* disk_queue() { return disk_.queue.get(); }
-  // Whether this disk belongs to no group and has cast no vote.
+  // Whether this disk belongs to no group and has cast no vote in any; the same of one group.
   bool has_no_state() const;
+  bool has_no_state(GroupId group) const;
+  // What the disk kept of the bootstrap when it was opened. Only until the first write.
+  const BootstrapState& stored_bootstrap_state() const { return disk_.journal->bootstrap_state(); }
+  void store_bootstrap_state(BootstrapState state, storage::DiskQueue::Done done);
 
   void tick(Millis now);
   void on_message(Millis now, const std::string& from, const GroupMessage& message);
--- a/src/control/service.cpp
+++ b/src/control/service.cpp
@@ -68,7 +68,9 @@
       config_machine_(std::make_unique<ConfigStateMachine>(*this)),
       empty_machine_(std::make_unique<EmptyStateMachine>()),
       replica_host_(messenger, std::move(disk)),
+      bootstrap_state_(replica_host_.stored_bootstrap_state()),
       bootstrap_proposer_(bootstrap_settings(now)),
+      bootstrap_voter_(bootstrap_state_.takes_part, bootstrap_state_.voted_for),
       operator_api_(config_machine_->state, operator_group()),
       quota_(quota_bounds(), false) {
   replica_host_.add_group(kConfigGroup, config_machine_.get(), now);
@@ -110,30 +112,100 @@
 
 BootstrapProposer::Settings ControlService::bootstrap_settings(Millis now) const {
   BootstrapProposer::Settings out;
-  for (const std::string& seed : settings_.seeds) {
-    out.seed_addresses.push_back(settings_.internal_address_of(seed));
-  }
+  out.seed_addresses = bootstrap_state_.seeds;
   out.group_size = group_size();
   out.started_at = now;
+  out.members = bootstrap_state_.proposed_members;
   return out;
 }
 
+bool ControlService::lacks_a_group() const {
+  for (GroupId group = 0; group < kGroups; ++group) {
+    if (replica_host_.has_no_state(group)) return true;
+  }
+  return false;
+}
+
 void ControlService::propose_bootstrap(Millis now) {
-  if (!settings_.bootstrap || !replica_host_.has_no_state()) return;
-  const auto request = bootstrap_proposer_.next_request(now, view_.self(), view_.core());
+  if (bootstrap_write_failed_) store_bootstrap_state();
+  if (!bootstrap_state_.takes_part) return;
+  if (bootstrap_state_.elected) return create_groups(now);
+  if (!replica_host_.has_no_state()) return;
+  if (bootstrap_proposer_.choose_members(now, view_.self(), view_.core())) {
+    bootstrap_state_.proposed_members = bootstrap_proposer_.members();
+    change_bootstrap_state();
+  }
+  if (!is_bootstrap_state_durable()) return;
+  const auto request = bootstrap_proposer_.next_request(now, view_.self());
   if (!request) return;
   const std::string message = encode_message(MessageType::kBootstrapRequest, *request);
   for (const std::string& seed : bootstrap_proposer_.seeds()) messenger_.send(seed, message);
 }
 
-void ControlService::on_bootstrap_vote(Millis now, const std::string& from, const BootstrapVote& vote) {
-  if (!replica_host_.has_no_state() || !bootstrap_proposer_.on_vote(from, view_.self(), vote)) return;
+void ControlService::on_bootstrap_request(const std::string& from, const BootstrapRequest& request) {
+  if (!bootstrap_state_.takes_part) return;
+  const auto vote = bootstrap_voter_.on_request(request);
+  if (!vote) return;
+  if (bootstrap_state_.voted_for != bootstrap_voter_.voted_for()) {
+    bootstrap_state_.voted_for = bootstrap_voter_.voted_for();
+    undelivered_votes_[from] = *vote;
+    return change_bootstrap_state();
+  }
+  if (is_bootstrap_state_durable()) messenger_.send(from, encode_message(MessageType::kBootstrapVote, *vote));
+}
+
+void ControlService::on_bootstrap_vote(const std::string& from, const BootstrapVote& vote) {
+  if (!bootstrap_state_.takes_part || bootstrap_state_.elected || !replica_host_.has_no_state()) return;
+  if (!bootstrap_proposer_.on_vote(from, view_.self(), vote)) return;
+  bootstrap_state_.elected = true;
+  change_bootstrap_state();
+}
+
+// Also after a restart: a group that is not on this disk has sent nothing yet.
+void ControlService::create_groups(Millis now) {
+  if (!is_bootstrap_state_durable() || !lacks_a_group()) return;
   NETTLESTAND_INFO("consensus groups bootstrapped members=" << bootstrap_proposer_.members().size());
-  for (GroupId group = 0; group < kGroups; ++group)
-    replica_host_.replica(group).bootstrap(bootstrap_proposer_.members());
+  for (GroupId group = 0; group < kGroups; ++group) {
+    if (replica_host_.has_no_state(group))
+      replica_host_.replica(group).bootstrap(bootstrap_proposer_.members());
+  }
   replica_host_.process_ready(now);
 }
 
+void ControlService::on_leader_heard() {
+  if (!bootstrap_state_.takes_part || (bootstrap_state_.elected && lacks_a_group())) return;
+  bootstrap_state_.takes_part = false;
+  change_bootstrap_state();
+}
+
+void ControlService::change_bootstrap_state() {
+  ++bootstrap_revision_;
+  store_bootstrap_state();
+}
+
+void ControlService::store_bootstrap_state() {
+  bootstrap_write_failed_ = false;
+  replica_host_.store_bootstrap_state(
+      bootstrap_state_, [this, revision = bootstrap_revision_](Millis now, const absl::Status& status) {
+        on_bootstrap_state_stored(now, revision, status);
+      });
+}
+
+void ControlService::on_bootstrap_state_stored(Millis now, std::uint64_t revision,
+                                               const absl::Status& status) {
+  if (!status.ok()) {
+    NETTLESTAND_WARNING("bootstrap state not written error=" << status.message());
+    bootstrap_write_failed_ = true;
+    return;
+  }
+  bootstrap_durable_revision_ = std::max(bootstrap_durable_revision_, revision);
+  if (!is_bootstrap_state_durable()) return;
+  for (const auto& [proposer, vote] : undelivered_votes_)
+    messenger_.send(proposer, encode_message(MessageType::kBootstrapVote, vote));
+  undelivered_votes_.clear();
+  propose_bootstrap(now);
+}
+
 // ---------------------------------------------------------------- leadership
 
 bool ControlService::leads(Millis now, GroupId group) const {
--- a/src/control/service.h
+++ b/src/control/service.h
@@ -36,7 +36,10 @@
   void step_down(Millis now);
   void on_consensus(Millis now, const std::string& from, const GroupMessage& message);
   void on_poll(Millis now, const std::string& from, const Poll& poll);
-  void on_bootstrap_vote(Millis now, const std::string& from, const BootstrapVote& vote);
+  void on_bootstrap_request(const std::string& from, const BootstrapRequest& request);
+  // A leader has answered: the groups exist, and this machine's part in the bootstrap is over.
+  void on_leader_heard();
+  void on_bootstrap_vote(const std::string& from, const BootstrapVote& vote);
   void on_operator_call(Millis now, const OperatorCall& call, OperatorCallback done);
 
   const ControlState& state() const;
@@ -56,6 +59,13 @@
   std::optional<EntryId> propose(Millis now, const ControlCommand& command);
   BootstrapProposer::Settings bootstrap_settings(Millis now) const;
   void propose_bootstrap(Millis now);
+  // Makes the new bootstrap_state_ durable.
+  void change_bootstrap_state();
+  void store_bootstrap_state();
+  void on_bootstrap_state_stored(Millis now, std::uint64_t revision, const absl::Status& status);
+  bool is_bootstrap_state_durable() const { return bootstrap_durable_revision_ == bootstrap_revision_; }
+  bool lacks_a_group() const;
+  void create_groups(Millis now);
   void update_leadership(Millis now, GroupId group);
   void on_leadership_gained(Millis now, GroupId group);
   void on_leadership_lost(GroupId group);
@@ -80,7 +90,13 @@
   std::unique_ptr<ConfigStateMachine> config_machine_;
   std::unique_ptr<EmptyStateMachine> empty_machine_;
   ReplicaHost replica_host_;
+  BootstrapState bootstrap_state_;
+  // Of bootstrap_state_: counts its changes, and which of them is durable.
+  std::uint64_t bootstrap_revision_ = 0, bootstrap_durable_revision_ = 0;
+  bool bootstrap_write_failed_ = false;  // it is repeated with the next tick
   BootstrapProposer bootstrap_proposer_;
+  BootstrapVoter bootstrap_voter_;
+  std::map<std::string, BootstrapVote> undelivered_votes_;  // by proposer's address; sent once durable
   OperatorApi operator_api_;
   bool stepped_down_ = false;
 
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -17,12 +17,6 @@
 constexpr double kConfigTextLinkShare = 0.4;       // share of the node's link for configuration texts
 constexpr double kBytesPerMegabit = 125000;
 
-std::vector<std::string> seed_addresses(const Settings& settings) {
-  std::vector<std::string> out;
-  for (const std::string& seed : settings.seeds) out.push_back(settings.internal_address_of(seed));
-  return out;
-}
-
 // Calls the handler with the decoded message; drops a message that can't be decoded.
 template <class Message, class Handler>
 void decode_and_handle(std::string_view body, Handler&& handler) {
@@ -58,12 +52,13 @@
                    ServerListSourceFactory server_list_source_factory, Millis now)
     : messenger_(messenger),
       settings_(settings),
-      view_(make_node_info(settings, identity, disks), seed_addresses(settings), identity.random_seed),
+      view_(make_node_info(settings, identity, disks), settings.internal_seed_addresses(),
+            identity.random_seed),
       config_texts_(kConfigTextLinkShare * kBytesPerMegabit * settings.limits.link_mbps),
       control_client_(messenger, view_, config_texts_, control_client_settings(settings, identity.is_store)),
       operator_relay_(messenger, control_client_, identity.random_seed),
-      // A seed node whose disk was used before may have voted before its restart, so it must not vote again.
-      bootstrap_voter_(settings.bootstrap && (!disks.control || disks.control->journal->is_new())),
+      // A node without a disk forgets its vote with a restart, so it must not vote after one.
+      bootstrap_voter_(settings.bootstrap, 0),
       started_at_(now) {
   store_disk_ = std::move(disks.store);
   if (!disks.control) return;
@@ -132,6 +127,7 @@
       return decode_and_handle<Shuffle>(body, [&](const Shuffle& m) { view_.on_shuffle_reply(now, m); });
     case MessageType::kBootstrapRequest:
       return decode_and_handle<BootstrapRequest>(body, [&](const BootstrapRequest& m) {
+        if (control_) return control_->on_bootstrap_request(from, m);
         const auto vote = bootstrap_voter_.on_request(m);
         if (vote) messenger_.send(from, encode_message(MessageType::kBootstrapVote, *vote));
       });
@@ -165,7 +161,7 @@
           body, [&](const GroupMessage& m) { control_->on_consensus(now, from, m); });
     case MessageType::kBootstrapVote:
       return decode_and_handle<BootstrapVote>(
-          body, [&](const BootstrapVote& m) { control_->on_bootstrap_vote(now, from, m); });
+          body, [&](const BootstrapVote& m) { control_->on_bootstrap_vote(from, m); });
     case MessageType::kPoll:
       return decode_and_handle<Poll>(body, [&](const Poll& m) { control_->on_poll(now, from, m); });
     case MessageType::kOperatorCall:
@@ -195,6 +191,7 @@
   const std::uint64_t placement = control_client_.state().placement().sequence;
   const std::uint64_t lists = control_client_.server_list_version();
   control_client_.on_reply(now, from, reply);
+  if (control_ && reply.from_leader) control_->on_leader_heard();
   if (store_ && control_client_.state().placement().sequence != placement) store_->on_placement(now);
   if (hooks_.on_server_list_changed && control_client_.server_list_version() != lists)
     hooks_.on_server_list_changed();
--- a/src/node/node_program.cpp
+++ b/src/node/node_program.cpp
@@ -125,6 +125,7 @@
   ControlJournal::Options options;
   options.directory = settings_.data_dir;
   options.disk_mb = static_cast<std::uint64_t>(settings_.limits.disk_mb);
+  if (settings_.bootstrap) options.first_start_seeds = settings_.internal_seed_addresses();
   auto journal = ControlJournal::open(options, random_u64() | 1);
   if (!journal.ok()) return journal.status();
   ControlDisk disk;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -138,6 +138,12 @@
          std::to_string(internal_port_range.at(0));
 }
 
+std::vector<std::string> Settings::internal_seed_addresses() const {
+  std::vector<std::string> out;
+  for (const std::string& seed : seeds) out.push_back(internal_address_of(seed));
+  return out;
+}
+
 absl::StatusOr<Settings> parse_settings(const std::string& text) {
   Settings out = defaults();
   try {
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -65,6 +65,7 @@
   // The internal address of the node with this control address, as seeds are given. All nodes use the same
   // internal ports.
   std::string internal_address_of(const std::string& control_address) const;
+  std::vector<std::string> internal_seed_addresses() const;
   bool has_disk() const { return !data_dir.empty(); }
 };
 
--- a/tests/system/control_test.cpp
+++ b/tests/system/control_test.cpp
@@ -137,7 +137,8 @@
   settings.seed_addresses = {"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"};
   BootstrapProposer proposer(settings);
   const NodeInfo self = core_node(1);
-  const auto request = proposer.next_request(2000, self, {core_node(3), core_node(1), core_node(2)});
+  REQUIRE(proposer.choose_members(2000, self, {core_node(3), core_node(1), core_node(2)}));
+  const auto request = proposer.next_request(2000, self);
   REQUIRE(request);
   REQUIRE(request->members.size() == 3);
   BootstrapVote vote{};
@@ -156,21 +157,38 @@
   BootstrapProposer::Settings settings;
   settings.seed_addresses = {"10.0.0.1:7000"};
   BootstrapProposer early(settings), second(settings);
-  CHECK_FALSE(early.next_request(100, core_node(1), {core_node(1), core_node(2), core_node(3)}));
-  CHECK_FALSE(early.next_request(2000, core_node(1), {core_node(1)}));
-  CHECK_FALSE(second.next_request(2000, core_node(2), {core_node(1), core_node(2), core_node(3)}));
-  CHECK(early.next_request(2500, core_node(1), {core_node(1), core_node(2), core_node(3)}));
+  CHECK_FALSE(early.choose_members(100, core_node(1), {core_node(1), core_node(2), core_node(3)}));
+  CHECK_FALSE(early.choose_members(2000, core_node(1), {core_node(1)}));
+  CHECK_FALSE(second.choose_members(2000, core_node(2), {core_node(1), core_node(2), core_node(3)}));
+  CHECK_FALSE(early.next_request(2000, core_node(1)));
+  CHECK(early.choose_members(2500, core_node(1), {core_node(1), core_node(2), core_node(3)}));
+  CHECK(early.next_request(2500, core_node(1)));
 }
 
-TEST_CASE("a seed votes for one proposer in its life, and not after a restart") {
+TEST_CASE("a proposer that was restarted proposes the same members") {
+  BootstrapProposer::Settings settings;
+  settings.seed_addresses = {"10.0.0.1:7000"};
+  BootstrapProposer before(settings);
+  REQUIRE(before.choose_members(2000, core_node(1), {core_node(1), core_node(2), core_node(3)}));
+  settings.members = before.members();
+  BootstrapProposer restarted(settings);
+  CHECK_FALSE(restarted.choose_members(7000, core_node(1), {core_node(1)}));
+  const auto request = restarted.next_request(100, core_node(1));
+  REQUIRE(request);
+  CHECK(request->members.size() == 3);
+}
+
+TEST_CASE("a seed votes for one proposer in its life, and not once its vote may be forgotten") {
   BootstrapRequest a{}, b{};
   a.proposer = 5;
   b.proposer = 6;
-  BootstrapVoter voter(true), restarted(false);
+  BootstrapVoter voter(true, 0), restarted(false, 0), restarted_with_disk(true, 5);
   CHECK(voter.on_request(a)->granted);
   CHECK_FALSE(voter.on_request(b)->granted);
   CHECK(voter.on_request(a)->granted);
   CHECK_FALSE(restarted.on_request(a));
+  CHECK(restarted_with_disk.on_request(a)->granted);
+  CHECK_FALSE(restarted_with_disk.on_request(b)->granted);
 }
 
 TEST_CASE("a waiting call is answered by its own entry alone, known by term and index") {
--- a/tools/simulate/cluster.cpp
+++ b/tools/simulate/cluster.cpp
@@ -323,6 +323,7 @@
     options.directory = "/data";
     options.segment_bytes = options_.large_configurations ? 1U << 20 : 128U << 10;
     options.files = machine.disk.get();
+    if (machine.settings.bootstrap) options.first_start_seeds = machine.settings.internal_seed_addresses();
     auto journal = ControlJournal::open(options, identity);
     if (journal.ok()) {
       ControlDisk disk;
--- a/tools/simulate/scenario.cpp
+++ b/tools/simulate/scenario.cpp
@@ -11,6 +11,8 @@
 
 constexpr Millis kFaultsStartMs = 6000;  // the tier has formed; faults begin
 constexpr Millis kFaultsEndMs = 40000;   // no new faults after this time
+constexpr Millis kAllStartedMs = 300;    // all machines have started
+constexpr Millis kFormingMs = 1700;      // after that, in which the groups are created
 // Time to recover before the checks.
 constexpr Millis kRecoveryMs = 12000;
 // Limits for the checks: a change is acknowledged, all nodes apply it, all jobs are finished.
@@ -25,13 +27,17 @@
 class Scenario {
  public:
   Scenario(std::uint64_t seed, InjectedFault injected_fault)
-      : reorders_messages_(reorders_messages(seed)),
+      : loses_core_while_forming_(seed % 4 == 1),
+        reorders_messages_(reorders_messages(seed)),
         cluster_(options(seed, injected_fault), history_),
         operators_(cluster_, history_, has_large_configurations(seed)),
         jobs_(cluster_, history_, has_small_job_journals(seed)) {}
 
   ScenarioResult run() {
     schedule_traffic();
+    if (loses_core_while_forming_) {
+      cluster_.scheduler().schedule_at(random_duration(kAllStartedMs, kFormingMs), [this] { lose_core(); });
+    }
     cluster_.scheduler().run_until(1500);
     operators_.submit_changes();
     cluster_.scheduler().run_until(kFaultsStartMs);
@@ -259,6 +265,16 @@
     }
   }
 
+  // Kills all core machines at the same moment, or takes their power.
+  void lose_core() {
+    const bool power = cluster_.chance(0.5);
+    result_.fault_log.push_back(std::to_string(cluster_.now()) +
+                                (power ? " power_forming" : " kill_forming"));
+    for (const std::size_t i : cluster_.machines_of(MachineKind::kCore)) {
+      const Millis downtime = random_duration(100, 900);
+      power ? cluster_.lose_power(i, downtime) : cluster_.kill(i, downtime);
+    }
+  }
   // Applies a fault that loses a disk if the tier has to tolerate the loss of one more.
   template <class Lose>
   bool lose_if_tolerated(std::size_t i, Lose lose) {
@@ -447,6 +463,7 @@
     if (!answered) history_.report_violation("the configuration can't be read after the faults have ended");
   }
 
+  bool loses_core_while_forming_;
   bool reorders_messages_;
   History history_;
   Cluster cluster_;
