Wait for a route no longer than a primary may lag behind a configuration

Need: the wait of for a route that may be yet to come was the lease on a configuration, 20 s where revocation is local. A store that comes back waits for the jobs it finds, too, so items of a removed route could stay unlisted beyond finish_s (10 s on all sites).

Change: at most 4 s: a store serves a job only in touch with the leaders, and has their configuration by then (config_apply_ms is 2 to 3 s on the sites).

--- a/src/batch/item_runner.cpp
+++ b/src/batch/item_runner.cpp
@@ -19,6 +19,8 @@
 
 constexpr Millis kAttemptTimeoutMs = 60000;       // per attempt; a route's timeout does not apply to items
 constexpr std::size_t kMaxConcurrentItems = 600;  // bounds memory and file descriptors
+// Within which a store that is in touch with the leaders, as a primary is, has a new configuration.
+constexpr Millis kMaxConfigLagMs = 4000;
 constexpr int kHttpUnprocessable = 422, kHttpServerError = 500, kHttpOk = 200;
 constexpr std::uint32_t kServiceSplitSteps = 97;  // granularity of the split of items over a route's services
 
@@ -98,7 +100,7 @@
   if (!control_client_.configuration() || !control_client_.has_config_lease(now)) return out;
   const Route* route = route_named(name);
   out.generation = control_client_.configuration()->generation();
-  out.max_config_age_ms = control_client_.config_lease_ms();
+  out.max_config_lag_ms = std::min(control_client_.config_lease_ms(), kMaxConfigLagMs);
   out.state = route == nullptr ? ItemLimits::RouteState::kRemoved : ItemLimits::RouteState::kPresent;
   if (route == nullptr) return out;
   out.max_wait_s = route->max_wait_s;
--- a/src/batch/item_schedule.cpp
+++ b/src/batch/item_schedule.cpp
@@ -100,7 +100,7 @@
                                                std::uint32_t item) const {
   const bool is_removed = limits.state == ItemLimits::RouteState::kRemoved;
   if (!is_removed && host_.is_routed(job, item)) return ItemRoute::kPresent;
-  if (now < job.accepted_at + limits.max_config_age_ms) return ItemRoute::kUnknown;
+  if (now < job.accepted_at + limits.max_config_lag_ms) return ItemRoute::kUnknown;
   return is_removed || job.is_intact(item) ? ItemRoute::kLost : ItemRoute::kUnknown;
 }
 
--- a/src/batch/item_schedule.h
+++ b/src/batch/item_schedule.h
@@ -66,9 +66,9 @@
   };
   RouteState state = RouteState::kUnknown;
   std::uint64_t generation = 0;  // of the configuration
-  // How long the configuration under which a job was accepted may be newer than this one: a route that leads
-  // to the items of a younger job may be yet to come.
-  Millis max_config_age_ms = 0;
+  // How much later this store may get a configuration than those who have accepted a job under it: the route
+  // of a younger job may be yet to come.
+  Millis max_config_lag_ms = 0;
   double max_wait_s = 0;  // 0: no limit
   int max_attempts = 1;   // responses with status 500 after which an item is dead-lettered
 };
--- a/tests/system/schedule_test.cpp
+++ b/tests/system/schedule_test.cpp
@@ -16,7 +16,7 @@
 constexpr int kSteps = 1500;
 constexpr std::uint64_t kWalks = 60;
 constexpr int kMaxAttempts = 3;
-constexpr Millis kMaxConfigAgeMs = 400;
+constexpr Millis kMaxConfigLagMs = 400;
 
 JobChange change_of(const JobKey& key) {
   JobChange out{};
@@ -49,7 +49,7 @@
     out.max_wait_s = 6;
     out.max_attempts = kMaxAttempts;
     out.generation = generation_;
-    out.max_config_age_ms = kMaxConfigAgeMs;
+    out.max_config_lag_ms = kMaxConfigLagMs;
     return out;
   }
   // Some configurations have no route for items with odd numbers.
