Count a call that a change withdraws against no server and no tenant

Change: CallOutcome::kWithdrawn, for what is not sent for no reason of the server's: it did not run, and says nothing of server or tenant. The tries of the request go on as before.

Measured: "calls that are withdrawn before they are sent count against no server and no tenant" with the former outcome: 12 of its checks fail, after 4 calls both healthy servers are passed by and calls are refused for want of a server. It passes now.

--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -162,7 +162,7 @@
                        (permission == SendPermission::kOnce && progress.runs == 0);
   if (sink.client_gone || !allowed || !pool_.is_usable(request.service, server.id)) {
     upstream_->release(server.address, std::move(connection));
-    co_return end_call(CallOutcome::kNotSent);
+    co_return end_call(CallOutcome::kWithdrawn);
   }
   progress.may_retry = progress.may_retry && permission == SendPermission::kRepeatable;
   sink.cancel_call = [weak = std::weak_ptr<UpstreamConnection>(connection)] {
--- a/src/forwarding/server_pool.cpp
+++ b/src/forwarding/server_pool.cpp
@@ -55,6 +55,8 @@
       return "misdirected";
     case CallOutcome::kNotSent:
       return "not_sent";
+    case CallOutcome::kWithdrawn:
+      return "withdrawn";
     case CallOutcome::kServerError:
       return "server_error";
     case CallOutcome::kConnectionLost:
@@ -286,6 +288,7 @@
       server.consecutive_failures = 0;
       return;
     case CallOutcome::kClientGone:
+    case CallOutcome::kWithdrawn:
     case CallOutcome::kServerError:
     case CallOutcome::kNotExecuted:
       return;
@@ -347,7 +350,9 @@
 }
 
 void TenantAdmission::on_call_ended(Millis now, CallOutcome outcome) {
-  if (outcome == CallOutcome::kClientGone || outcome == CallOutcome::kMisdirected) return;
+  if (outcome == CallOutcome::kClientGone || outcome == CallOutcome::kMisdirected ||
+      outcome == CallOutcome::kWithdrawn)
+    return;
   const double seconds = static_cast<double>(now) / 1000;
   const bool failed = outcome != CallOutcome::kCompleted && outcome != CallOutcome::kServerError;
   if (!limit_.count_ended(seconds, failed, false)) return;
--- a/src/forwarding/server_pool.h
+++ b/src/forwarding/server_pool.h
@@ -23,6 +23,7 @@
   kNotExecuted,     // rejected by the server: it did not run
   kMisdirected,     // the address belongs to another server now: it did not run
   kNotSent,         // no connection, or it broke before any byte was sent: it did not run
+  kWithdrawn,       // not sent, for no reason of the server's: it did not run
   kServerError,     // the server responded with an error
   kConnectionLost,  // the connection broke or the response was invalid: it may have run
   kTimedOut,        // no response in time: it may have run
@@ -32,7 +33,7 @@
 // Whether a call with this outcome is known not to have run.
 inline bool never_ran(CallOutcome outcome) {
   return outcome == CallOutcome::kNotExecuted || outcome == CallOutcome::kMisdirected ||
-         outcome == CallOutcome::kNotSent;
+         outcome == CallOutcome::kNotSent || outcome == CallOutcome::kWithdrawn;
 }
 
 // The name of an outcome in logs.
--- a/tests/system/forwarding_test.cpp
+++ b/tests/system/forwarding_test.cpp
@@ -1,11 +1,18 @@
 // Event stream parser, choice of servers, and admission of a tenant's calls.
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <map>
+#include <memory>
 #include <random>
 #include <set>
+#include <utility>
 
 #include "forwarding/event_stream.h"
+#include "forwarding/forwarder.h"
 #include "forwarding/server_pool.h"
+#include "listed_servers.h"
 
 using namespace nettlestand::tier;
 
@@ -39,6 +46,61 @@
   return out;
 }
 
+// A connection to a server that is never sent anything.
+class UnusedConnection : public UpstreamConnection {
+ public:
+  boost::asio::awaitable<bool> send(OutgoingRequest, Millis, bool&) override { co_return false; }
+  boost::asio::awaitable<Read> read_head(ResponseHead&, Millis) override { co_return Read::kBroken; }
+  boost::asio::awaitable<Read> read_some(std::string&, Millis) override { co_return Read::kBroken; }
+  void cancel() override {}
+  bool is_reusable() const override { return true; }
+};
+
+// Opens a connection to any server.
+class UnusedUpstream : public Upstream {
+ public:
+  boost::asio::awaitable<UpstreamConnectionPtr> open(std::string, std::string, Millis, bool) override {
+    ++opened;
+    co_return std::make_shared<UnusedConnection>();
+  }
+  void release(const std::string&, UpstreamConnectionPtr) override {}
+  void close_idle(Millis) override {}
+  int opened = 0;
+};
+
+class IgnoringSink : public ResponseSink {
+ public:
+  boost::asio::awaitable<bool> on_head(const ResponseHead&) override { co_return true; }
+  boost::asio::awaitable<bool> on_data(std::string_view) override { co_return true; }
+};
+
+// Forwards a request that the configuration allows until a connection is open, and denies then.
+ForwardResult forward_withdrawn(Forwarder& forwarder, const Route& route) {
+  ForwardRequest request;
+  request.route = &route;
+  request.service = "s";
+  request.tenant = "t";
+  request.id = "r1";
+  request.method = "POST";
+  request.target = "/x/1";
+  request.deadline = steady_now() + 60000;
+  request.permission = [allowed = true]() mutable {
+    const bool is_first = std::exchange(allowed, false);
+    return is_first ? SendPermission::kRepeatable : SendPermission::kDenied;
+  };
+  boost::asio::io_context io;
+  IgnoringSink sink;
+  ForwardResult result;
+  boost::asio::co_spawn(
+      io,
+      [&]() -> boost::asio::awaitable<void> {
+        result = co_await forwarder.forward(std::move(request), sink);
+      },
+      boost::asio::detached);
+  io.run();
+  return result;
+}
+
 }  // namespace
 
 TEST_CASE("events are whole and in order wherever the stream is cut") {
@@ -254,7 +316,7 @@
 
 TEST_CASE("which ends prove that a call did not run") {
   for (const CallOutcome outcome :
-       {CallOutcome::kNotExecuted, CallOutcome::kMisdirected, CallOutcome::kNotSent})
+       {CallOutcome::kNotExecuted, CallOutcome::kMisdirected, CallOutcome::kNotSent, CallOutcome::kWithdrawn})
     CHECK(never_ran(outcome));
   for (const CallOutcome outcome :
        {CallOutcome::kCompleted, CallOutcome::kServerError, CallOutcome::kConnectionLost,
@@ -263,6 +325,31 @@
   }
 }
 
+// Guards against: a change that takes a key or a route away while calls under it open their connections makes
+// a node pass its healthy servers by, and refuse other calls.
+TEST_CASE("calls that are withdrawn before they are sent count against no server and no tenant") {
+  auto owned = std::make_unique<UnusedUpstream>();
+  const UnusedUpstream& upstream = *owned;
+  Forwarder forwarder(std::move(owned), 1);
+  list_servers(forwarder.pool(), {"10.0.0.1:1", "10.0.0.1:2"});
+  Route route{};
+  route.max_attempts = 3;
+  constexpr int kCalls = 12;
+  for (int i = 0; i < kCalls; ++i) {
+    const ForwardResult result = forward_withdrawn(forwarder, route);
+    CHECK(result.outcome == ForwardOutcome::kRefused);
+    CHECK(result.refusal == ForwardRefusal::kWithdrawn);
+  }
+  CHECK(upstream.opened == kCalls);
+  const Millis now = steady_now();
+  CHECK(picked(forwarder.pool(), now) == std::set<std::string>{"i-0", "i-1"});
+  for (const char* const id : {"i-0", "i-1"}) CHECK_FALSE(forwarder.pool().is_suspect(now, id));
+  TenantAdmission admission;
+  const double limit = admission.limit();
+  for (int i = 0; i < 1000; ++i) admission.on_call_ended(i * 10, CallOutcome::kWithdrawn);
+  CHECK(admission.limit() == limit);
+}
+
 TEST_CASE("a client's limit drops while its calls fail, and climbs again once they end well") {
   TenantAdmission admission;
   quinceusher::Random random(1);
