Log why a request is refused, and show it where a test gets a 503

Neither the answer nor the log said why.

Change: at the level debug a line for each refused request with its cause, and for each attempt that fails with its outcome and time. The test runs its nodes at that level and prints the lines of its request.

--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -132,6 +132,10 @@
     progress.tried.push_back(server->id);
     progress.may_retry = repeatable && progress.runs + 1 < max_runs;
     last = co_await attempt(request, *server, progress, sink);
+    if (last != CallOutcome::kCompleted) {
+      NETTLESTAND_DEBUG("attempt failed id=" << request.id << " server=" << server->id
+                                             << " outcome=" << name_of(last) << " ms=" << steady_now() - now);
+    }
     tenant_admission.on_call_ended(steady_now(), last);
     if (!never_ran(last)) ++progress.runs;
     if (sink.client_gone) co_return result(ForwardOutcome::kClientGone);
--- a/src/node/client_request_handler.cpp
+++ b/src/node/client_request_handler.cpp
@@ -161,6 +161,8 @@
 asio::awaitable<void> ClientRequestHandler::refuse(std::shared_ptr<HttpExchange> exchange, RefusalCause cause,
                                                    const std::string& tenant) {
   refusals_.count(cause, tenant);
+  NETTLESTAND_DEBUG("request refused id=" << exchange->request.header("X-Request-Id") << " tenant=" << tenant
+                                          << " cause=" << name_of(cause));
   HeaderList headers;
   if (const char* after = retry_after(cause)) headers.emplace_back("Retry-After", after);
   co_await exchange->respond(status_of(cause), std::move(headers), "");
--- a/src/node/refusal_counters.h
+++ b/src/node/refusal_counters.h
@@ -1,5 +1,5 @@
-// Counts the requests that an edge node has refused, by cause. The log gets a summary at intervals, never a
-// line for every request.
+// Counts the requests that an edge node has refused, by cause. The log gets a summary at intervals; a
+// line for every request only at the level debug.
 #pragma once
 
 #include <array>
--- a/tests/system/processes_test.cpp
+++ b/tests/system/processes_test.cpp
@@ -153,7 +153,7 @@
 }
 
 TEST_CASE("orders: refused, raced, recognised and read back at any node") {
-  TierFixture tier;
+  TierFixture tier("[log]\nlevel = \"debug\"\n");
   TierWorld& world = tier.world;
   CHECK(world.change_configuration("replace", 2, "{\"generation\":3").status == 400);
   CHECK(world.change_configuration("replace", 9, configuration(10)).status == 412);
@@ -168,7 +168,10 @@
     // The removed key is refused at every node, the other one is accepted.
     CHECK(until(kTimeoutMs,
                 [&] { return tier.ask(node, "once", "gone" + std::to_string(node)).status == 401; }));
-    CHECK(tier.ask(node, "once", "kept" + std::to_string(node), "k2").status == 200);
+    const std::string kept = "kept" + std::to_string(node);
+    const HttpResult answer = tier.ask(node, "once", kept, "k2");
+    INFO("the node's log: " << tier.log_of_request(node, kept));
+    CHECK(answer.status == 200);
   }
   CHECK(world.control(0, "POST", "/nettlestand/elsewhere", {{"Host", "x"}}, "").status == 404);
 }
--- a/tests/system/tier_fixture.h
+++ b/tests/system/tier_fixture.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <catch2/catch.hpp>
+#include <sstream>
 #include <string>
 
 #include "standins/tier/tier_world.h"
@@ -98,6 +99,15 @@
     }
     return out;
   }
+  // The lines of a node's log that name a request; with the level debug they say why it was refused.
+  std::string log_of_request(std::size_t node, const std::string& id) const {
+    std::istringstream log(world.log(node));
+    std::string out;
+    for (std::string line; std::getline(log, line);) {
+      if (line.find(" id=" + id + " ") != std::string::npos) out += line + "\n";
+    }
+    return out;
+  }
   // Reads a job's results from the start until all `total` are there, from one node after the other.
   bool read_all(const std::string& job, std::size_t total, std::string& pages) {
     std::size_t node = 0;
