Call a play of the duties' worlds void while the disk stands still

The voters write to the machine's disk; the kernel counted 9.4 s of waiting for it in the 5 minutes that hold the play, and earlier probes saw single syncs of 12.8 s. Whether the worlds had stood still for it nothing told. The check asked for a promise with a time on a machine that makes nothing durable.

Change: DiskDelayMonitor, a thread that makes one write after the other durable in the world's own folder. A play in which one takes over 1 s, the length of the duties' leases, is void, as one without a core is: said on standard error with the time, played again up to three times. All else fails as before, and a failure on a disk that works is none of the disk's.

Measured: its tests pass (a write that still waits, the bound, a folder).

--- a/standins/world/host_load.h
+++ b/standins/world/host_load.h
@@ -1,10 +1,14 @@
-// Measures whether the test doubles keep up: the delay of their event loop, and the stalls of the machine
-// meanwhile.
+// Measures whether the machine keeps up with a test cluster: the delay of the test doubles' event loop, that
+// of the disk, and the stalls meanwhile.
 #pragma once
 
 #include <atomic>
+#include <condition_variable>
+#include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <thread>
 
 #include "standins/common/loop.h"
 
@@ -34,6 +38,34 @@
   std::shared_ptr<State> state_ = std::make_shared<State>();
 };
 
+// Measures how long the disk takes to make a write durable: writes and syncs at short intervals, on a thread
+// of its own.
+class DiskDelayMonitor {
+ public:
+  // Writes to a file of its own in `folder`.
+  explicit DiskDelayMonitor(const std::string& folder);
+  // `write` makes one write durable.
+  explicit DiskDelayMonitor(std::function<void()> write);
+  // Waits for the write in progress.
+  ~DiskDelayMonitor();
+  DiskDelayMonitor(const DiskDelayMonitor&) = delete;
+  DiskDelayMonitor& operator=(const DiskDelayMonitor&) = delete;
+
+  // Longest write so far in s; the one in progress counts with what it has taken. Thread-safe.
+  double max_delay() const;
+
+ private:
+  void run();
+
+  std::function<void()> write_;
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  bool stopped_ = false;
+  double started_at_ = 0;  // of the write in progress; 0 if there is none
+  double max_delay_ = 0;
+  std::thread thread_;
+};
+
 // Stall times of the machine in s since boot (pressure stall information), and the page faults of this
 // process. All 0 if the kernel does not provide them.
 struct HostStalls {
--- a/standins/world/world.h
+++ b/standins/world/world.h
@@ -63,12 +63,16 @@
   std::string process;  // the process that waited longest
   // Longest delay of the test doubles' event loop in s, if it exceeded the bound.
   double max_loop_delay = 0;
+  // Longest delay of the disk in s, if it exceeded the bound.
+  double max_disk_delay = 0;
   HostStalls machine;  // stalls of the whole machine during the run
   bool is_invalid = false;
 
   // Records a delay of the test doubles' event loop. A late double delays calls and messages, which must not
   // be attributed to the nodes.
   void record_loop_delay(double late);
+  // Records a delay of the disk. While nothing becomes durable, no voter can keep a promise that has a time.
+  void record_disk_delay(double delay);
 };
 
 // Runs one test cluster. Not thread-safe.
--- a/tests/duties/processes_test.cpp
+++ b/tests/duties/processes_test.cpp
@@ -12,6 +12,7 @@
 #include "duties/wire.h"
 #include "process_setup.h"
 #include "standins/common/loop.h"
+#include "standins/world/host_load.h"
 
 namespace nettlestand::standins::testing {
 namespace {
@@ -535,14 +536,15 @@
   return out.str();
 }
 
-// Runs one random script and returns the violations with the timeline. A run that the machine starved of CPU
-// three times is void: it is counted and gives no verdict.
+// Runs one random script and returns the violations with the timeline. A run that the machine starved of CPU,
+// or whose disk stood still, three times is void: it is counted and gives no verdict.
 std::string run_random_script(std::uint64_t seed, std::atomic<int>& void_runs) {
   bool is_invalid = false;
   const std::size_t nodes = seed % 4 == 0 ? 15 : 7, voters = seed % 4 == 0 ? 5 : 3;
   const std::string script = random_script(seed, nodes, voters);
   const std::string out = run_until_valid(3, is_invalid, [&](Starvation& starvation) -> std::string {
     RunningDuties running(nodes, voters, 2);
+    const DiskDelayMonitor disk(running.setup.shared_directory.path);
     running.world->play(script, 6);
     const double well = now();
     const bool again = ProcessWorld::until([&] { return running.all_have_effects(well); }, 6);
@@ -551,6 +553,7 @@
       reply += run_control_command(*running.world, i, "duties voters");
     const Timeline timeline = running.world->finish();
     starvation = running.world->starvation();
+    starvation.record_disk_delay(disk.max_delay());
     std::string found = duty_violations(running.setup, timeline) +
                         describe_violations(request_rules(running.world->checker_settings()), timeline);
     if (!again) found += "not all duties have an effect 6 s after the faults ended\n" + reply;
--- a/tests/lab/world_test.cpp
+++ b/tests/lab/world_test.cpp
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
+#include <future>
 #include <random>
 #include <sstream>
 
@@ -98,6 +100,38 @@
   EXPECT_GT(w.starvation().max_loop_delay, 0.1);
 }
 
+TEST(Lateness, OfTheDiskIsToldWhileAWriteStillWaits) {
+  std::promise<void> disk_works;
+  const auto works = disk_works.get_future().share();
+  DiskDelayMonitor disk([works] { works.wait(); });
+  const bool told = ProcessWorld::until([&] { return disk.max_delay() > 0.2; }, 5);
+  disk_works.set_value();
+  EXPECT_TRUE(told);
+  EXPECT_GT(disk.max_delay(), 0.2);
+}
+
+TEST(Lateness, OfTheDiskMakesARunVoidBeyondItsBound) {
+  Starvation starvation;
+  starvation.record_disk_delay(0.99);
+  EXPECT_FALSE(starvation.is_invalid);
+  EXPECT_EQ(starvation.max_disk_delay, 0);
+  starvation.record_disk_delay(1.5);
+  starvation.record_disk_delay(1.2);
+  EXPECT_TRUE(starvation.is_invalid);
+  EXPECT_EQ(starvation.max_disk_delay, 1.5);
+  EXPECT_EQ(starvation.process, "the disk");
+}
+
+TEST(Lateness, OfAFoldersDiskIsMeasured) {
+  std::string folder = ::testing::TempDir() + "nettlestand_disk_XXXXXX";
+  ASSERT_NE(mkdtemp(folder.data()), nullptr);
+  {
+    DiskDelayMonitor disk(folder);
+    EXPECT_TRUE(ProcessWorld::until([&] { return disk.max_delay() > 0; }));
+  }
+  std::filesystem::remove_all(folder);
+}
+
 TEST(Lateness, TellsWhatTheMachineWaitedForMeanwhile) {
   HostStalls before, after;
   before.io = 1;
