Submit all jobs before their results come in the test of a store's memory

A query of the play's own edges got 503 for a further job of the tenant. The results of the first jobs had come meanwhile and taken the memory: a store refuses jobs at a lower share than results, as it should. Which of the two came first was left to the machine.

Change: the servers refuse items until all 40 jobs are submitted, and take them from then on. Crowd, sizes and bounds are as they were; 800 results of 128 KB now always meet a store of 64 MB.

--- a/tests/system/clients_test.cpp
+++ b/tests/system/clients_test.cpp
@@ -418,6 +418,8 @@
   ClientsFixture clients({kEdgeMemoryMb, kMaxDescriptors}, {kSmallStoreMemoryMb, kMaxDescriptors});
   TierWorld& world = clients.tier.world;
   set_event_padding(world, kEventPadding);
+  // Results that come before the last job is submitted would leave no memory for it.
+  set_engines(world, EngineMode::kFull);
   for (int i = 0; i < kJobs; ++i) {
     const std::string id = "job" + std::to_string(i);
     CHECK(until(kTimeoutMs, [&] {
@@ -425,6 +427,7 @@
              202;
     }));
   }
+  set_engines(world, EngineMode::kStream);
   // Until each job is done, or results have come up to what the memory holds.
   until(kTimeoutMs, [&] {
     HeaderList headers = client_headers("k1", "read");
