--- a/standins/world/world.cpp
+++ b/standins/world/world.cpp
@@ -329,17 +329,18 @@
 }
 
 void Starvation::record_loop_delay(double late) {
-  if (late <= kMaxLoopDelaySeconds || late <= max_loop_delay) return;
-  max_loop_delay = late;
-  is_invalid = true;
-  if (process.empty()) process = "the test doubles' loop";
+  record_delay(late, kMaxLoopDelaySeconds, max_loop_delay, "the test doubles' loop");
 }
 
 void Starvation::record_disk_delay(double delay) {
-  if (delay <= kMaxDiskDelaySeconds || delay <= max_disk_delay) return;
-  max_disk_delay = delay;
+  record_delay(delay, kMaxDiskDelaySeconds, max_disk_delay, "the disk");
+}
+
+void Starvation::record_delay(double delay, double bound, double& longest, const char* what) {
+  if (delay <= bound || delay <= longest) return;
+  longest = delay;
   is_invalid = true;
-  if (process.empty()) process = "the disk";
+  if (process.empty()) process = what;
 }
 
 void ProcessWorld::note(const WorldFault& fault, const char* kind) {
--- a/standins/world/world.h
+++ b/standins/world/world.h
@@ -54,13 +54,13 @@
   std::string interpose_environment;
 };
 
-// CPU starvation during a run. If nodes waited for a core for too long, no timing of the run is meaningful:
-// the run is invalid and is repeated.
+// What a run lacked of the machine. If nodes waited for a core for too long, or nothing became durable, no
+// timing of the run is meaningful: the run is invalid and is repeated.
 struct Starvation {
   // Longest time within one second, in s, that a process waited for a core without a fault script
   // asking.
   double max_cpu_wait = 0;
-  std::string process;  // the process that waited longest
+  std::string process;  // the process that waited longest, or what else was late
   // Longest delay of the test doubles' event loop in s, if it exceeded the bound.
   double max_loop_delay = 0;
   // Longest delay of the disk in s, if it exceeded the bound.
@@ -73,6 +73,9 @@
   void record_loop_delay(double late);
   // Records a delay of the disk. While nothing becomes durable, no voter can keep a promise that has a time.
   void record_disk_delay(double delay);
+
+ private:
+  void record_delay(double delay, double bound, double& longest, const char* what);
 };
 
 // Runs one test cluster. Not thread-safe.
--- a/tests/system/item_test.cpp
+++ b/tests/system/item_test.cpp
@@ -568,6 +568,25 @@
 
 const std::string kDeadLetter = "\"state\":\"dead_letter\"";
 
+// A store, the server of its route's service, and the server of another service.
+struct TwoServices {
+  TwoServices() {
+    store.list_other_service(server, other);
+    store.answer_as_replica();
+  }
+  // Submits a job whose items are all turned away the first time.
+  void submit_turned_away(const JobSpec& spec) {
+    server.set_full(true);
+    store.submit(spec);
+    store.settle();
+    store.answer_as_replica();
+    server.set_full(false);
+  }
+
+  ItemServer server, other;
+  Store store{server};
+};
+
 }  // namespace
 
 // Guards against: accepted items run at a service to which no configuration ever led them.
@@ -577,15 +596,9 @@
                               RouteTarget{"/jobs/", "other", "idempotent"},
                               RouteTarget{"/jobs/", "other", "batch", "another-name"});
   INFO(moved.host << moved.prefix << " " << moved.route_class << " " << moved.name);
-  ItemServer server, other;
-  Store store(server);
-  store.list_other_service(server, other);
-  store.answer_as_replica();
-  server.set_full(true);
-  store.submit(job_of("j", 3));
-  store.settle();
-  store.answer_as_replica();
-  server.set_full(false);
+  TwoServices services;
+  auto& [server, other, store] = services;
+  services.submit_turned_away(job_of("j", 3));
   const std::size_t before = server.received().size();
   store.configure(2, moved);
   for (int i = 0; i < 3; ++i) {
@@ -601,10 +614,8 @@
 
 // Guards against: an item that was started before a change is sent by the old name of its route after it.
 TEST_CASE("an item that is on its way when a change leads its route elsewhere is not sent") {
-  ItemServer server, other;
-  Store store(server);
-  store.list_other_service(server, other);
-  store.answer_as_replica();
+  TwoServices services;
+  auto& [server, other, store] = services;
   store.submit(job_of("j", 2));  // started, and not sent yet
   store.configure(2, {"/night/", "s"});
   store.settle();
@@ -613,13 +624,9 @@
 }
 
 TEST_CASE("the items of a route go on at the service to which a change leads their prefix") {
-  ItemServer server, other;
-  Store store(server);
-  store.list_other_service(server, other);
-  store.answer_as_replica();
-  server.set_full(true);
-  store.submit(job_of("j", 3));
-  store.settle();
+  TwoServices services;
+  auto& [server, other, store] = services;
+  services.submit_turned_away(job_of("j", 3));
   store.configure(2, {"/jobs/", "other"});
   clock_shift += kAfterRetryDelayMs;
   store.tick();
@@ -633,9 +640,8 @@
 TEST_CASE("a store that has yet to get the route of a job waits for it") {
   const bool has_other_route = GENERATE(false, true);
   INFO("the store has a route of that name " << has_other_route);
-  ItemServer server, other;
-  Store store(server);
-  store.list_other_service(server, other);
+  TwoServices services;
+  auto& [server, other, store] = services;
   store.configure(2, {"/night/", "other", "batch", has_other_route ? "jobs" : "another-name"});
   store.place({kOtherStoreDisk, store.service().disk_id()});
   JobChange job{};
